--- a/src/main/java/pebblering/Control.java
+++ b/src/main/java/juniperusher/Control.java
@@ -1,4 +1,4 @@
-package pebblering;
+package juniperusher;
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -7,7 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
-import pebblering.Protocol.*;
+import juniperusher.Protocol.*;
 
 /**
  * The decision module. Its interface is Protocol.java, beside this file.
--- a/src/main/java/pebblering/Protocol.java
+++ b/src/main/java/juniperusher/Protocol.java
@@ -1,4 +1,4 @@
-package pebblering;
+package juniperusher;
 
 import java.util.List;
 
--- a/src/main/java/pebblering/sim/FrameReader.java
+++ b/src/main/java/juniperusher/sim/FrameReader.java
@@ -1,4 +1,4 @@
-package pebblering.sim;
+package juniperusher.sim;
 
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
--- a/src/main/java/pebblering/sim/Host.java
+++ b/src/main/java/juniperusher/sim/Host.java
@@ -1,4 +1,4 @@
-package pebblering.sim;
+package juniperusher.sim;
 
 import java.io.IOException;
 import java.io.InputStream;
@@ -10,22 +10,22 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import pebblering.Control;
-import pebblering.Protocol.Arrived;
-import pebblering.Protocol.Ended;
-import pebblering.Protocol.Event;
-import pebblering.Protocol.ListFailed;
-import pebblering.Protocol.Message;
-import pebblering.Protocol.Noted;
-import pebblering.Protocol.Outcome;
-import pebblering.Protocol.Phase;
-import pebblering.Protocol.Probed;
-import pebblering.Protocol.Report;
-import pebblering.Protocol.Streaming;
-import pebblering.Protocol.Target;
-import pebblering.Protocol.TargetList;
-import pebblering.Protocol.Withdrawn;
-import pebblering.Protocol.Woken;
+import juniperusher.Control;
+import juniperusher.Protocol.Arrived;
+import juniperusher.Protocol.Ended;
+import juniperusher.Protocol.Event;
+import juniperusher.Protocol.ListFailed;
+import juniperusher.Protocol.Message;
+import juniperusher.Protocol.Noted;
+import juniperusher.Protocol.Outcome;
+import juniperusher.Protocol.Phase;
+import juniperusher.Protocol.Probed;
+import juniperusher.Protocol.Report;
+import juniperusher.Protocol.Streaming;
+import juniperusher.Protocol.Target;
+import juniperusher.Protocol.TargetList;
+import juniperusher.Protocol.Withdrawn;
+import juniperusher.Protocol.Woken;
 
 /** Hosts many instances of the decision module behind the simulator's wire; translates and nothing else. */
 final class Host {
--- a/src/main/java/pebblering/sim/Main.java
+++ b/src/main/java/juniperusher/sim/Main.java
@@ -1,4 +1,4 @@
-package pebblering.sim;
+package juniperusher.sim;
 
 import java.io.BufferedInputStream;
 import java.io.IOException;
@@ -12,7 +12,7 @@
     /** Runs the command named by the arguments; exits 2 on an unknown one and 1 on bad input. */
     public static void main(String[] args) throws IOException {
         if (args.length != 1 || !args[0].equals("simhost")) {
-            System.err.println("usage: java -jar pebblering.jar simhost");
+            System.err.println("usage: java -jar juniperusher.jar simhost");
             System.exit(2);
         }
         try {
--- a/src/main/java/pebblering/sim/ReplyWriter.java
+++ b/src/main/java/juniperusher/sim/ReplyWriter.java
@@ -1,4 +1,4 @@
-package pebblering.sim;
+package juniperusher.sim;
 
 import java.io.ByteArrayOutputStream;
 import java.io.DataOutputStream;
@@ -9,18 +9,18 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 import java.util.List;
-import pebblering.Protocol.Action;
-import pebblering.Protocol.Cancel;
-import pebblering.Protocol.CloseIdle;
-import pebblering.Protocol.Fail;
-import pebblering.Protocol.Log;
-import pebblering.Protocol.Note;
-import pebblering.Protocol.Probe;
-import pebblering.Protocol.Refuse;
-import pebblering.Protocol.Reload;
-import pebblering.Protocol.Send;
-import pebblering.Protocol.WakeAt;
-import pebblering.Protocol.Watch;
+import juniperusher.Protocol.Action;
+import juniperusher.Protocol.Cancel;
+import juniperusher.Protocol.CloseIdle;
+import juniperusher.Protocol.Fail;
+import juniperusher.Protocol.Log;
+import juniperusher.Protocol.Note;
+import juniperusher.Protocol.Probe;
+import juniperusher.Protocol.Refuse;
+import juniperusher.Protocol.Reload;
+import juniperusher.Protocol.Send;
+import juniperusher.Protocol.WakeAt;
+import juniperusher.Protocol.Watch;
 
 /** Gathers the reply to a batch and writes it in one piece. */
 final class ReplyWriter {
--- a/src/main/java/pebblering/sim/SettingsParser.java
+++ b/src/main/java/juniperusher/sim/SettingsParser.java
@@ -1,17 +1,17 @@
-package pebblering.sim;
+package juniperusher.sim;
 
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import pebblering.Protocol.Allowed;
-import pebblering.Protocol.Effect;
-import pebblering.Protocol.Kind;
-import pebblering.Protocol.MessageClass;
-import pebblering.Protocol.Rules;
-import pebblering.Protocol.Settings;
-import pebblering.Protocol.Tenant;
-import pebblering.Protocol.Weight;
+import juniperusher.Protocol.Allowed;
+import juniperusher.Protocol.Effect;
+import juniperusher.Protocol.Kind;
+import juniperusher.Protocol.MessageClass;
+import juniperusher.Protocol.Rules;
+import juniperusher.Protocol.Settings;
+import juniperusher.Protocol.Tenant;
+import juniperusher.Protocol.Weight;
 
 /** Reads the start-up settings: path=value, one a line. Unknown keys are ignored. */
 final class SettingsParser {
--- a/src/main/java/pebblering/sim/WireException.java
+++ b/src/main/java/juniperusher/sim/WireException.java
@@ -1,4 +1,4 @@
-package pebblering.sim;
+package juniperusher.sim;
 
 /** Input that does not keep to the wire; the message says what and where. */
 public final class WireException extends RuntimeException {
--- a/src/test/java/pebblering/ModuleTest.java
+++ b/src/test/java/juniperusher/ModuleTest.java
@@ -1,4 +1,4 @@
-package pebblering;
+package juniperusher;
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -11,7 +11,7 @@
 class ModuleTest {
     @Test
     void theModuleIsShortEnoughToReadAloud() throws IOException {
-        List<String> lines = Files.readAllLines(Path.of("src/main/java/pebblering/Control.java"));
+        List<String> lines = Files.readAllLines(Path.of("src/main/java/juniperusher/Control.java"));
         long count = lines.stream().filter(line -> !line.isBlank()).count();
         assertTrue(count <= 910, count + " lines that are not blank");
     }
--- a/src/test/java/pebblering/Script.java
+++ b/src/test/java/juniperusher/Script.java
@@ -1,4 +1,4 @@
-package pebblering;
+package juniperusher;
 
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -8,28 +8,28 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import pebblering.Protocol.Action;
-import pebblering.Protocol.Allowed;
-import pebblering.Protocol.Arrived;
-import pebblering.Protocol.Effect;
-import pebblering.Protocol.Ended;
-import pebblering.Protocol.Event;
-import pebblering.Protocol.Fail;
-import pebblering.Protocol.Kind;
-import pebblering.Protocol.Message;
-import pebblering.Protocol.MessageClass;
-import pebblering.Protocol.Outcome;
-import pebblering.Protocol.Phase;
-import pebblering.Protocol.Refuse;
-import pebblering.Protocol.Report;
-import pebblering.Protocol.Rules;
-import pebblering.Protocol.Send;
-import pebblering.Protocol.Settings;
-import pebblering.Protocol.Target;
-import pebblering.Protocol.TargetList;
-import pebblering.Protocol.WakeAt;
-import pebblering.Protocol.Weight;
-import pebblering.Protocol.Woken;
+import juniperusher.Protocol.Action;
+import juniperusher.Protocol.Allowed;
+import juniperusher.Protocol.Arrived;
+import juniperusher.Protocol.Effect;
+import juniperusher.Protocol.Ended;
+import juniperusher.Protocol.Event;
+import juniperusher.Protocol.Fail;
+import juniperusher.Protocol.Kind;
+import juniperusher.Protocol.Message;
+import juniperusher.Protocol.MessageClass;
+import juniperusher.Protocol.Outcome;
+import juniperusher.Protocol.Phase;
+import juniperusher.Protocol.Refuse;
+import juniperusher.Protocol.Report;
+import juniperusher.Protocol.Rules;
+import juniperusher.Protocol.Send;
+import juniperusher.Protocol.Settings;
+import juniperusher.Protocol.Target;
+import juniperusher.Protocol.TargetList;
+import juniperusher.Protocol.WakeAt;
+import juniperusher.Protocol.Weight;
+import juniperusher.Protocol.Woken;
 
 /**
  * Plays scripted events to a {@link Control}, serves its timer between them, and checks the rules on every
--- a/src/test/java/pebblering/example/Forwarder.java
+++ b/src/test/java/juniperusher/example/Forwarder.java
@@ -1,19 +1,19 @@
-package pebblering.example;
+package juniperusher.example;
 
 import java.util.List;
-import pebblering.Control;
-import pebblering.Protocol.Action;
-import pebblering.Protocol.Arrived;
-import pebblering.Protocol.Ended;
-import pebblering.Protocol.Event;
-import pebblering.Protocol.Fail;
-import pebblering.Protocol.Message;
-import pebblering.Protocol.Outcome;
-import pebblering.Protocol.Refuse;
-import pebblering.Protocol.Send;
-import pebblering.Protocol.Settings;
-import pebblering.Protocol.TargetList;
-import pebblering.Protocol.WakeAt;
+import juniperusher.Control;
+import juniperusher.Protocol.Action;
+import juniperusher.Protocol.Arrived;
+import juniperusher.Protocol.Ended;
+import juniperusher.Protocol.Event;
+import juniperusher.Protocol.Fail;
+import juniperusher.Protocol.Message;
+import juniperusher.Protocol.Outcome;
+import juniperusher.Protocol.Refuse;
+import juniperusher.Protocol.Send;
+import juniperusher.Protocol.Settings;
+import juniperusher.Protocol.TargetList;
+import juniperusher.Protocol.WakeAt;
 
 /** The embedding example of the README, kept compiling here. */
 public final class Forwarder {
--- a/src/test/java/pebblering/sim/WireTest.java
+++ b/src/test/java/juniperusher/sim/WireTest.java
@@ -1,4 +1,4 @@
-package pebblering.sim;
+package juniperusher.sim;
 
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
@@ -12,18 +12,18 @@
 import java.util.HexFormat;
 import java.util.List;
 import org.junit.jupiter.api.Test;
-import pebblering.Protocol.Cancel;
-import pebblering.Protocol.CloseIdle;
-import pebblering.Protocol.Fail;
-import pebblering.Protocol.Log;
-import pebblering.Protocol.Note;
-import pebblering.Protocol.Probe;
-import pebblering.Protocol.Refuse;
-import pebblering.Protocol.Reload;
-import pebblering.Protocol.Send;
-import pebblering.Protocol.WakeAt;
-import pebblering.Protocol.Settings;
-import pebblering.Protocol.Watch;
+import juniperusher.Protocol.Cancel;
+import juniperusher.Protocol.CloseIdle;
+import juniperusher.Protocol.Fail;
+import juniperusher.Protocol.Log;
+import juniperusher.Protocol.Note;
+import juniperusher.Protocol.Probe;
+import juniperusher.Protocol.Refuse;
+import juniperusher.Protocol.Reload;
+import juniperusher.Protocol.Send;
+import juniperusher.Protocol.WakeAt;
+import juniperusher.Protocol.Settings;
+import juniperusher.Protocol.Watch;
 
 /** Bytes laid out by hand from the wire's description. */
 class WireTest {
