--- a/src/main/java/juniperusher/Control.java
+++ b/src/main/java/juniperusher/Control.java
@@ -790,6 +790,7 @@
             this.message = message;
             this.kind = kind;
             deadline = now + message.timeLeft();
+            attempts = message.attempts(); // after a restart of the sender, see the forwarder's journal
         }
     }
 
--- a/src/main/java/juniperusher/Protocol.java
+++ b/src/main/java/juniperusher/Protocol.java
@@ -160,8 +160,14 @@
      * @param tenant       place of its tenant in the settings
      * @param key          key of its order, 0 for none
      * @param timeLeft     how long it may still be delivered
+     * @param attempts     attempts it has had already, all known never to have run or harmless to repeat
      */
-    public record Message(int id, int messageClass, int tenant, int destination, long key, double timeLeft) {
+    public record Message(int id, int messageClass, int tenant, int destination, long key, double timeLeft,
+            int attempts) {
+        /** A message that has had no attempt. */
+        public Message(int id, int messageClass, int tenant, int destination, long key, double timeLeft) {
+            this(id, messageClass, tenant, destination, key, timeLeft, 0);
+        }
     }
 
     /** The sender has taken a message. */
--- /dev/null
+++ b/src/main/java/juniperusher/cli/Main.java
@@ -0,0 +1,91 @@
+package juniperusher.cli;
+
+import com.beust.jcommander.JCommander;
+import com.beust.jcommander.ParameterException;
+import com.beust.jcommander.Parameters;
+import java.io.IOException;
+import java.nio.file.Path;
+import juniperusher.core.Counters;
+import juniperusher.http.Config;
+import juniperusher.http.Platform;
+import juniperusher.sim.SimHost;
+
+/** The command line. */
+public final class Main {
+    private Main() {
+    }
+
+    /** A sub-command. */
+    interface Command {
+        /** Runs it; the exit code. */
+        int run() throws Exception;
+    }
+
+    /** Runs the sub-command named by the arguments; exits 2 on bad arguments and 1 on a failure. */
+    public static void main(String[] args) throws Exception {
+        // Read before the first logger is made; standard output is the simulator's wire.
+        System.setProperty("org.slf4j.simpleLogger.showDateTime", "true");
+        System.setProperty("org.slf4j.simpleLogger.dateTimeFormat", "HH:mm:ss.SSS");
+        int code;
+        try {
+            code = command(args).run();
+        } catch (ParameterException e) {
+            System.err.println("juniperusher: " + e.getMessage());
+            code = 2;
+        } catch (IllegalArgumentException | IOException e) {
+            System.err.println("juniperusher: " + e.getMessage());
+            code = 1;
+        }
+        if (code != 0) {
+            System.exit(code);
+        }
+    }
+
+    private static Command command(String[] args) {
+        JCommander commands = JCommander.newBuilder().programName("juniperusher")
+                .addCommand("serve", new Serve()).addCommand("simhost", new HostSimulator()).build();
+        commands.parse(args);
+        if (commands.getParsedCommand() == null) {
+            throw new ParameterException("name a command: "
+                    + String.join(", ", commands.getCommands().keySet()));
+        }
+        return (Command) commands.getCommands().get(commands.getParsedCommand()).getObjects().get(0);
+    }
+
+    @Parameters(commandDescription = "Hosts instances of the module on the simulator's wire")
+    private static final class HostSimulator implements Command {
+        @Override
+        public int run() throws IOException {
+            return SimHost.run(System.in, System.out);
+        }
+    }
+
+    @Parameters(commandDescription = "Runs one relay, as RELAY_CONFIG and RELAY_STATE say")
+    private static final class Serve implements Command {
+        @Override
+        public int run() throws Exception {
+            Config config = Config.read(Path.of(variable("RELAY_CONFIG")));
+            Counters counters = new Counters();
+            Platform platform = new Platform(config, Path.of(variable("RELAY_STATE")), counters);
+            Runtime.getRuntime().addShutdownHook(new Thread(() -> {
+                try {
+                    platform.drain();
+                    System.err.print(counters.text());
+                    platform.close();
+                } catch (Exception e) {
+                    System.err.println("juniperusher: at the end: " + e);
+                }
+            }, "drain"));
+            Thread.currentThread().join();
+            return 0;
+        }
+    }
+
+    static String variable(String name) {
+        String value = System.getenv(name);
+        if (value == null || value.isEmpty()) {
+            throw new ParameterException("the variable " + name + " is not set");
+        }
+        return value;
+    }
+}
--- /dev/null
+++ b/src/main/java/juniperusher/core/Front.java
@@ -0,0 +1,13 @@
+package juniperusher.core;
+
+/** A wire on which RPCs come in and on which their ends are told. */
+public interface Front {
+    /** The name under which the journal and the counters know it. */
+    String name();
+
+    /** Whether this end is told to somebody; if not, it is over once it is in the journal. */
+    boolean tells(RpcEnd end);
+
+    /** Tells the end, again and again until it is acknowledged; then runs {@code acknowledged} once. */
+    void report(RpcEnd end, Runnable acknowledged);
+}
--- /dev/null
+++ b/src/main/java/juniperusher/core/Journal.java
@@ -0,0 +1,348 @@
+package juniperusher.core;
+
+import java.io.ByteArrayOutputStream;
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.FileChannel;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.Stream;
+import java.util.zip.CRC32C;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * What the relay owes, in the folder that outlasts its process. Append-only segments hold records of a
+ * length, a
+ * checksum and the fields; a torn or damaged tail ends a segment. When the room runs out, what is still owed
+ * is
+ * copied into a new segment and the old ones go; both copies fit into the room at any time. Nothing is
+ * synced: what
+ * is written survives the process, and only the loss of the machine loses it.
+ */
+public final class Journal {
+    private static final Logger LOG = LoggerFactory.getLogger(Journal.class);
+    private static final int HEADER = 8;
+    private static final int SMALL = 400; // bytes of small records that an RPC may still write, at most
+    private static final int SLACK = 8 * 1024; // bytes kept free for rounding up and for the folder itself
+    private static final int MOST = 1 << 20; // bytes of a record; a longer one is damage
+    private static final long LATELY = 120_000; // ms for which the id of an RPC that is over is remembered
+    private static final byte TAKEN = 1;
+    private static final byte ATTEMPT = 2;
+    private static final byte OUTCOME = 3;
+    private static final byte ENDED = 4;
+    private static final byte ACKNOWLEDGED = 5;
+    private static final byte REMEMBERED = 6;
+
+    private final Path folder;
+    private final long limit;
+    private final long reserve;
+    private final Map<Integer, Owed> owed = new LinkedHashMap<>();
+    private final Map<String, Long> lately = new LinkedHashMap<>();
+    private final List<Owed> recovered;
+    private FileChannel segment;
+    private int segmentNumber;
+    private long used;
+    private long live;
+    private int lastNumber;
+
+    /**
+     * An RPC that is owed its end, or whose end is still to be told.
+     *
+     * @param mayHaveRun whether an attempt may have run; one without an outcome counts
+     * @param end        its end, if it has one, else null
+     */
+    public record Owed(int number, RpcRequest request, int attempts, boolean mayHaveRun, boolean out,
+            RpcEnd end) {
+        /** What a restart has to assume of it. */
+        Owed settled() {
+            return new Owed(number, request, attempts, mayHaveRun || out, false, end);
+        }
+
+        private Owed with(int newAttempts, boolean ran, boolean isOut, RpcEnd newEnd) {
+            return new Owed(number, request, newAttempts, ran, isOut, newEnd);
+        }
+
+        private long size() {
+            return HEADER + 64 + 3L * (request.id().length() + request.front().length()
+                    + request.returnAddress().length()) + (end == null ? request.body().length : 0);
+        }
+    }
+
+    /** Opens the journal in the folder, reads what is owed and starts a clean segment with it. */
+    public Journal(Path folder, long diskBytes, int held) throws IOException {
+        this.folder = folder;
+        limit = diskBytes - SLACK;
+        reserve = Math.min(limit / 4, (long) held * SMALL);
+        Files.createDirectories(folder);
+        List<Path> old = segments(folder);
+        for (Path path : old) {
+            replay(Files.readAllBytes(path));
+            segmentNumber = Math.max(segmentNumber, number(path));
+            used += Files.size(path);
+        }
+        owed.replaceAll((number, left) -> left.settled());
+        recovered = List.copyOf(owed.values());
+        live = owed.values().stream().mapToLong(Owed::size).sum();
+        compact();
+    }
+
+    private static List<Path> segments(Path folder) throws IOException {
+        try (Stream<Path> paths = Files.list(folder)) {
+            return paths.filter(path -> path.getFileName().toString().matches("journal-\\d{8}"))
+                    .sorted().toList();
+        }
+    }
+
+    private static int number(Path path) {
+        return Integer.parseInt(path.getFileName().toString().substring("journal-".length()));
+    }
+
+    /** What an earlier process left, in the order taken. */
+    public List<Owed> recovered() {
+        return recovered;
+    }
+
+    /** Bytes in the folder. */
+    public synchronized long bytes() {
+        return used;
+    }
+
+    /** Writes an RPC down as taken on; its number, or -1 if there is no room for it. */
+    public synchronized int taken(RpcRequest request) {
+        Owed entry = new Owed(lastNumber + 1, request, 0, false, false, null);
+        long size = entry.size();
+        if (used + live + 2 * size + reserve > limit) {
+            compact();
+        }
+        if (used + live + 2 * size + reserve > limit) {
+            return -1;
+        }
+        lastNumber++;
+        owed.put(entry.number(), entry);
+        live += size;
+        write(takenRecord(entry));
+        return entry.number();
+    }
+
+    /** An attempt is about to leave. */
+    public synchronized void attempt(int number) {
+        Owed entry = owed.get(number);
+        owed.put(number, entry.with(entry.attempts() + 1, entry.mayHaveRun(), true, null));
+        append(record(ATTEMPT, out -> out.writeInt(number)));
+    }
+
+    /** The attempt that was out has ended. */
+    public synchronized void outcome(int number, boolean neverRan) {
+        Owed entry = owed.get(number);
+        owed.put(number, entry.with(entry.attempts(), entry.mayHaveRun() || !neverRan, false, null));
+        append(record(OUTCOME, out -> {
+            out.writeInt(number);
+            out.writeBoolean(neverRan);
+        }));
+    }
+
+    /** The RPC has its final answer, which may still have to be told. */
+    public synchronized void ended(int number, RpcEnd end) {
+        Owed entry = owed.get(number);
+        live -= entry.size();
+        entry = entry.with(entry.attempts(), entry.mayHaveRun(), false, end);
+        owed.put(number, entry);
+        live += entry.size();
+        append(endedRecord(number, end));
+        remember(entry, System.currentTimeMillis());
+    }
+
+    /** The RPC's end is told, or needs no telling. */
+    public synchronized void acknowledged(int number) {
+        Owed entry = owed.remove(number);
+        if (entry != null) {
+            live -= entry.size();
+            append(record(ACKNOWLEDGED, out -> out.writeInt(number)));
+        }
+    }
+
+    /** Whether an RPC of this key, which is taken on only once, ended a short while ago. */
+    public synchronized boolean lately(String key) {
+        Long at = lately.get(key);
+        return at != null && System.currentTimeMillis() - at < LATELY;
+    }
+
+    private void remember(Owed entry, long at) {
+        // What was handed back never ran and may come again under its id.
+        if (entry.request().once() && entry.end().kind() != RpcEnd.Kind.HANDED_BACK) {
+            lately.put(entry.request().key(), at);
+        }
+    }
+
+    // ---- records ----
+
+    private interface Fields {
+        void write(DataOutputStream out) throws IOException;
+    }
+
+    private static byte[] record(byte type, Fields fields) {
+        try {
+            ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+            DataOutputStream out = new DataOutputStream(bytes);
+            out.writeByte(type);
+            fields.write(out);
+            byte[] body = bytes.toByteArray();
+            CRC32C sum = new CRC32C();
+            sum.update(body);
+            return ByteBuffer.allocate(HEADER + body.length).putInt(body.length).putInt((int) sum.getValue())
+                    .put(body).array();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    private static byte[] takenRecord(Owed entry) {
+        RpcRequest request = entry.request();
+        return record(TAKEN, out -> {
+            out.writeInt(entry.number());
+            out.writeUTF(request.id());
+            out.writeUTF(request.front());
+            out.writeInt(request.messageClass());
+            out.writeInt(request.destination());
+            out.writeLong(request.deadline());
+            out.writeUTF(request.returnAddress());
+            out.writeBoolean(request.once());
+            out.writeInt(entry.attempts());
+            out.writeBoolean(entry.mayHaveRun());
+            out.writeBoolean(entry.out());
+            byte[] body = entry.end() == null ? request.body() : new byte[0];
+            out.writeInt(body.length);
+            out.write(body);
+        });
+    }
+
+    private static byte[] endedRecord(int number, RpcEnd end) {
+        return record(ENDED, out -> {
+            out.writeInt(number);
+            out.writeByte(end.kind().ordinal());
+            out.writeDouble(end.retryIn());
+            out.writeLong(System.currentTimeMillis());
+        });
+    }
+
+    private void replay(byte[] bytes) {
+        ByteBuffer in = ByteBuffer.wrap(bytes);
+        while (in.remaining() >= HEADER) {
+            int length = in.getInt();
+            int expected = in.getInt();
+            if (length <= 0 || length > MOST || length > in.remaining()) {
+                return; // torn by the end of the process
+            }
+            CRC32C sum = new CRC32C();
+            sum.update(bytes, in.position(), length);
+            if ((int) sum.getValue() != expected) {
+                return;
+            }
+            try {
+                replay(new DataInputStream(new java.io.ByteArrayInputStream(bytes, in.position(), length)));
+            } catch (IOException | RuntimeException e) {
+                LOG.warn("journal: a record that cannot be read ends the segment: {}", e.toString());
+                return;
+            }
+            in.position(in.position() + length);
+        }
+    }
+
+    private void replay(DataInputStream in) throws IOException {
+        byte type = in.readByte();
+        if (type == REMEMBERED) {
+            lately.put(in.readUTF(), in.readLong());
+            return;
+        }
+        int number = in.readInt();
+        Owed entry = owed.get(number);
+        if (type == TAKEN) {
+            String id = in.readUTF();
+            RpcRequest head = new RpcRequest(id, in.readUTF(), in.readInt(), in.readInt(), in.readLong(),
+                    in.readUTF(), in.readBoolean(), new byte[0]);
+            int attempts = in.readInt();
+            boolean ran = in.readBoolean();
+            boolean out = in.readBoolean();
+            byte[] body = in.readNBytes(in.readInt());
+            owed.put(number, new Owed(number, new RpcRequest(id, head.front(), head.messageClass(),
+                    head.destination(), head.deadline(), head.returnAddress(), head.once(), body),
+                    attempts, ran, out, null));
+            lastNumber = Math.max(lastNumber, number);
+        } else if (entry != null && type == ATTEMPT) {
+            owed.put(number, entry.with(entry.attempts() + 1, entry.mayHaveRun(), true, null));
+        } else if (entry != null && type == OUTCOME) {
+            owed.put(number, entry.with(entry.attempts(), entry.mayHaveRun() || !in.readBoolean(), false,
+                    null));
+        } else if (entry != null && type == ENDED) {
+            RpcEnd end = new RpcEnd(entry.request().id(), entry.request().returnAddress(),
+                    RpcEnd.Kind.values()[in.readByte()], in.readDouble());
+            owed.put(number, entry.with(entry.attempts(), entry.mayHaveRun(), false, end));
+            remember(owed.get(number), in.readLong());
+        } else if (type == ACKNOWLEDGED) {
+            owed.remove(number);
+        }
+    }
+
+    // ---- segments ----
+
+    private void append(byte[] record) {
+        if (used + live + record.length > limit) {
+            compact(); // the state already holds what the record says
+        } else {
+            write(record);
+        }
+    }
+
+    private void write(byte[] record) {
+        try {
+            ByteBuffer bytes = ByteBuffer.wrap(record);
+            while (bytes.hasRemaining()) {
+                used += segment.write(bytes);
+            }
+        } catch (IOException e) {
+            throw new UncheckedIOException("the journal cannot be written", e);
+        }
+    }
+
+    private void compact() {
+        try {
+            List<Path> old = segments(folder);
+            if (segment != null) {
+                segment.close();
+            }
+            long before = used;
+            segment = FileChannel.open(folder.resolve(String.format("journal-%08d", ++segmentNumber)),
+                    StandardOpenOption.CREATE_NEW, StandardOpenOption.WRITE);
+            ByteArrayOutputStream all = new ByteArrayOutputStream();
+            long now = System.currentTimeMillis();
+            lately.values().removeIf(at -> now - at >= LATELY);
+            for (Map.Entry<String, Long> entry : lately.entrySet()) {
+                all.write(record(REMEMBERED, out -> {
+                    out.writeUTF(entry.getKey());
+                    out.writeLong(entry.getValue());
+                }));
+            }
+            for (Owed entry : owed.values()) {
+                all.write(takenRecord(entry));
+                if (entry.end() != null) {
+                    all.write(endedRecord(entry.number(), entry.end()));
+                }
+            }
+            write(all.toByteArray());
+            for (Path path : old) {
+                Files.delete(path);
+            }
+            used -= before;
+        } catch (IOException e) {
+            throw new UncheckedIOException("the journal cannot be compacted", e);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/juniperusher/core/Relay.java
@@ -0,0 +1,291 @@
+package juniperusher.core;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
+import juniperusher.Control;
+import juniperusher.Protocol.Action;
+import juniperusher.Protocol.Arrived;
+import juniperusher.Protocol.Cancel;
+import juniperusher.Protocol.CloseIdle;
+import juniperusher.Protocol.Effect;
+import juniperusher.Protocol.Ended;
+import juniperusher.Protocol.Event;
+import juniperusher.Protocol.Fail;
+import juniperusher.Protocol.Log;
+import juniperusher.Protocol.Message;
+import juniperusher.Protocol.Note;
+import juniperusher.Protocol.Probe;
+import juniperusher.Protocol.Probed;
+import juniperusher.Protocol.Refuse;
+import juniperusher.Protocol.Send;
+import juniperusher.Protocol.Settings;
+import juniperusher.Protocol.Target;
+import juniperusher.Protocol.TargetList;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** The core: takes RPCs on, has the module decide, carries out what it decides and answers for every end. */
+public final class Relay {
+    private static final Logger LOG = LoggerFactory.getLogger(Relay.class);
+    private static final int STACK = 128 * 1024; // bytes, an RPC's thread calls little
+    private static final double FULL_RETRY = 0.5; // s, told when no room is left: the module's first pause
+
+    private final Settings settings;
+    private final Journal journal;
+    private final Counters counters;
+    private final Subchannels subchannels;
+    private final NoteSender notes;
+    private final DecisionLoop loop;
+    private final Guards guards = new Guards();
+    private final Map<String, Front> fronts = new HashMap<>();
+    private final Map<Integer, Rpc> held = new ConcurrentHashMap<>();
+    private final Map<String, Rpc> heldIds = new ConcurrentHashMap<>();
+    private final AtomicInteger owed = new AtomicInteger();
+    private volatile long noUnsafeAfter = Long.MAX_VALUE;
+    private Thread loopThread;
+
+    /** Sends a note to the relay of that number, or to all others for -1. */
+    public interface NoteSender {
+        void send(int to, byte[] note);
+    }
+
+    /** A relay that keeps its journal in {@code state}, of at most {@code diskBytes}. */
+    public Relay(Settings settings, long seed, double gap, Path state, long diskBytes, Counters counters,
+            Subchannels subchannels, NoteSender notes) throws IOException {
+        this.settings = settings;
+        this.counters = counters;
+        this.subchannels = subchannels;
+        this.notes = notes;
+        journal = new Journal(state, diskBytes, settings.allowed().held());
+        loop = new DecisionLoop(new Control(settings, seed), gap, this::carryOut);
+        counters.gauge("held", held::size);
+        counters.gauge("journal_bytes", journal::bytes);
+    }
+
+    /** Adds a front; all are added before {@link #start}. */
+    public void add(Front front) {
+        fronts.put(front.name(), front);
+    }
+
+    /** Starts deciding, and takes up again what an earlier process left owed. */
+    public void start(TargetList known) {
+        resolved(known);
+        for (Journal.Owed left : journal.recovered()) {
+            recover(left);
+        }
+        loopThread = new Thread(loop, "decide");
+        loopThread.start();
+    }
+
+    private void recover(Journal.Owed left) {
+        RpcRequest request = left.request();
+        if (left.end() != null) {
+            tell(left.number(), request, left.end());
+            return;
+        }
+        boolean unsafe = settings.classes().get(request.messageClass()).effect() == Effect.UNSAFE;
+        Rpc rpc = new Rpc(left.number(), request, left.attempts(), this);
+        hold(rpc);
+        if (unsafe && left.mayHaveRun()) {
+            // Guards against a second effect: its attempt may have run, and nobody heard its outcome.
+            end(rpc, new RpcEnd(request.id(), request.returnAddress(), RpcEnd.Kind.GIVEN_UP, 0));
+        } else if (rpc.timeLeft() <= 0) {
+            end(rpc, new RpcEnd(request.id(), request.returnAddress(), RpcEnd.Kind.HANDED_BACK, 0));
+        } else {
+            startThread(rpc);
+        }
+    }
+
+    // ---- an RPC comes in ----
+
+    /** Takes the RPC on, or refuses it; the channel is told before this returns. */
+    public void offer(RpcRequest request, Channel channel) {
+        if (heldIds.containsKey(request.key()) || request.once() && journal.lately(request.key())) {
+            channel.takenOn(); // the same handing-in once more: it is owed one end, not two
+            return;
+        }
+        if (owed.incrementAndGet() > settings.allowed().held()) {
+            owed.decrementAndGet();
+            refuse(request, channel, "held");
+            return;
+        }
+        int number = journal.taken(request);
+        if (number < 0) {
+            owed.decrementAndGet();
+            refuse(request, channel, "disk");
+            return;
+        }
+        counters.add("taken_total", "front", request.front(), "class", "" + request.messageClass());
+        Rpc rpc = new Rpc(number, request, 0, this);
+        held.put(number, rpc);
+        heldIds.put(request.key(), rpc);
+        channel.takenOn();
+        startThread(rpc);
+    }
+
+    private void refuse(RpcRequest request, Channel channel, String why) {
+        counters.add("refused_total", "front", request.front(), "why", why);
+        channel.refused(new UnavailableStatus(FULL_RETRY));
+    }
+
+    private void hold(Rpc rpc) {
+        owed.incrementAndGet();
+        held.put(rpc.number(), rpc);
+        heldIds.put(rpc.request().key(), rpc);
+    }
+
+
+    private void startThread(Rpc rpc) {
+        Thread thread = new Thread(null, rpc, "rpc-" + rpc.number(), STACK);
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    void arrived(Rpc rpc, int attemptsUsed) {
+        RpcRequest request = rpc.request();
+        loop.post(new Arrived(new Message(rpc.number(), request.messageClass(), 0, request.destination(), 0L,
+                Math.max(0, rpc.timeLeft()), attemptsUsed)));
+    }
+
+    // ---- what the module is told ----
+
+    /** The resolver result: the whole list, or what changed in it. */
+    public void resolved(TargetList list) {
+        guards.learn(list);
+        loop.post(list);
+    }
+
+    /** A note or another event that a front passes on as it is. */
+    public void tell(Event event) {
+        loop.post(event);
+    }
+
+    void attemptEnded(Rpc rpc, int attempt, SharedCall call, CallResult result, boolean over) {
+        Target target = call.target();
+        if (result.told() > 0) {
+            guards.wait(target.destination(), result.told());
+        }
+        if (!over) {
+            journal.outcome(rpc.number(), result.end().outcome().neverRan());
+        }
+        counters.add("attempts_total", "end", result.end().name().toLowerCase(Locale.ROOT));
+        loop.post(new Ended(rpc.number(), attempt, target.id(), result.end().outcome(), call.elapsed(), over,
+                result.told(), result.report()));
+    }
+
+    // ---- what the module decides ----
+
+    private void carryOut(List<Action> actions) {
+        Map<Integer, SharedCall> forming = new HashMap<>();
+        List<Runnable> starts = new ArrayList<>();
+        for (Action action : actions) {
+            if (action instanceof Send send) {
+                Rpc rpc = held.get(send.message());
+                SharedCall call = callFor(send, forming);
+                if (rpc != null) {
+                    call.add(rpc, send.timeout());
+                    starts.add(() -> rpc.choose(call));
+                }
+            } else if (action instanceof Refuse refuse) {
+                choose(refuse.message(), refuse);
+            } else if (action instanceof Fail fail) {
+                choose(fail.message(), fail);
+            } else if (action instanceof Cancel cancel) {
+                Rpc rpc = held.get(cancel.message());
+                if (rpc != null) {
+                    rpc.callOff();
+                }
+            } else if (action instanceof Probe probe) {
+                probe(guards.target(probe.target()));
+            } else if (action instanceof CloseIdle close) {
+                subchannels.closeIdle(guards.target(close.target()));
+            } else if (action instanceof Note note) {
+                notes.send(note.to(), note.note());
+            } else if (action instanceof Log log) {
+                LOG.info(log.line());
+            }
+        }
+        starts.forEach(Runnable::run);
+    }
+
+    private SharedCall callFor(Send send, Map<Integer, SharedCall> forming) {
+        SharedCall call = forming.get(send.target());
+        Target target = guards.target(send.target());
+        if (call == null || call.size() >= settings.kinds().get(target.kind()).batch()) {
+            call = new SharedCall(target, subchannels, () -> guards.mayCall(target.id(),
+                    target.destination()));
+            forming.put(send.target(), call);
+        }
+        return call;
+    }
+
+    private void choose(int message, Object choice) {
+        Rpc rpc = held.get(message);
+        if (rpc != null) {
+            rpc.choose(choice);
+        }
+    }
+
+    private void probe(Target target) {
+        if (!guards.mayCall(target.id(), target.destination())) {
+            loop.post(new Probed(target.id(), false, false, 0));
+            return;
+        }
+        counters.add("probes_total");
+        subchannels.probe(target, (ok, full, elapsed) ->
+                loop.post(new Probed(target.id(), ok, full, elapsed)));
+    }
+
+    // ---- an RPC ends ----
+
+    void end(Rpc rpc, RpcEnd end) {
+        RpcRequest request = rpc.request();
+        journal.ended(rpc.number(), end);
+        held.remove(rpc.number());
+        heldIds.remove(request.key(), rpc);
+        owed.decrementAndGet();
+        counters.add("answered_total", "front", request.front(), "class", "" + request.messageClass(), "end",
+                end.kind().name().toLowerCase(Locale.ROOT));
+        tell(rpc.number(), request, end);
+    }
+
+    private void tell(int number, RpcRequest request, RpcEnd end) {
+        Front front = fronts.get(request.front());
+        if (front == null || !front.tells(end)) {
+            journal.acknowledged(number);
+        } else {
+            front.report(end, () -> journal.acknowledged(number));
+        }
+    }
+
+    /** Stops deciding; what is held stays owed in the journal. */
+    public void close() {
+        loopThread.interrupt();
+    }
+
+    Journal journal() {
+        return journal;
+    }
+
+    /** How many RPCs are held. */
+    public int held() {
+        return held.size();
+    }
+
+    /** From this wall-clock time on no call starts that may not be repeated. */
+    public void noUnsafeAfter(long time) {
+        noUnsafeAfter = time;
+    }
+
+    boolean mayStart(Rpc rpc) {
+        return settings.classes().get(rpc.request().messageClass()).effect() != Effect.UNSAFE
+                || System.currentTimeMillis() < noUnsafeAfter;
+    }
+}
--- /dev/null
+++ b/src/main/java/juniperusher/core/RpcRequest.java
@@ -0,0 +1,21 @@
+package juniperusher.core;
+
+/**
+ * An RPC as a channel hands it in.
+ *
+ * @param id            the client's id of this handing-in
+ * @param front         name of the front that took it in
+ * @param messageClass  place of its class in the settings
+ * @param destination   number of its destination
+ * @param deadline      wall-clock time in milliseconds by which it may still be delivered
+ * @param returnAddress where its end is told; the front's own text, may be empty
+ * @param once          a repeat of its id, while it is held or lately over, is not taken on a second time
+ * @param body          the bytes passed on
+ */
+public record RpcRequest(String id, String front, int messageClass, int destination, long deadline,
+        String returnAddress, boolean once, byte[] body) {
+    /** What tells it from every other RPC held. */
+    public String key() {
+        return front + ' ' + id;
+    }
+}
--- /dev/null
+++ b/src/main/java/juniperusher/http/HttpSubchannels.java
@@ -0,0 +1,170 @@
+package juniperusher.http;
+
+import com.eclipsesource.json.Json;
+import com.eclipsesource.json.JsonArray;
+import com.eclipsesource.json.JsonObject;
+import com.eclipsesource.json.JsonValue;
+import com.eclipsesource.json.ParseException;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.Base64;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import juniperusher.Protocol.Report;
+import juniperusher.Protocol.Target;
+import juniperusher.core.CallEnd;
+import juniperusher.core.CallResult;
+import juniperusher.core.RpcRequest;
+import juniperusher.core.Subchannels;
+import juniperusher.net.HttpMessage;
+import juniperusher.net.HttpPool;
+import juniperusher.net.Network;
+
+/** Calls to endpoints over HTTP/1.1: one message by /receive, several by /receive-many. */
+final class HttpSubchannels implements Subchannels {
+    private static final long PROBE_MS = 1_500; // an endpoint that answers no probe by then is down
+
+    private final HttpPool pool;
+    private final Network network;
+    private final Resolver resolver;
+    private final Config config;
+
+    HttpSubchannels(Config config, HttpPool pool, Network network, Resolver resolver) {
+        this.config = config;
+        this.pool = pool;
+        this.network = network;
+        this.resolver = resolver;
+    }
+
+    @Override
+    public Call call(Target subchannel, List<RpcRequest> rpcs, double timeout, Clearance clearance,
+            Results results) {
+        HttpMessage message = rpcs.size() == 1 ? one(rpcs.get(0), timeout) : many(rpcs, timeout);
+        return pool.exchange(resolver.address(subchannel.id()), message, clearance::mayStart,
+                new HttpPool.Listener() {
+                    @Override
+                    public void answered(HttpMessage response) {
+                        double told = told(response);
+                        Report report = report(response);
+                        List<CallEnd> ends = ends(response, rpcs);
+                        for (int i = 0; i < rpcs.size(); i++) {
+                            results.ended(i, new CallResult(ends.get(i), told, report));
+                        }
+                    }
+
+                    @Override
+                    public void ended(CallEnd why) {
+                        for (int i = 0; i < rpcs.size(); i++) {
+                            results.ended(i, CallResult.of(why));
+                        }
+                    }
+                })::abandon;
+    }
+
+    private static HttpMessage one(RpcRequest rpc, double timeout) {
+        return HttpMessage.request("POST", "/receive", rpc.body(), "Host", "endpoint", "X-Call-Id", rpc.id(),
+                "X-Budget", Math.max(1, Math.round(timeout * 1000)) + "m");
+    }
+
+    private static HttpMessage many(List<RpcRequest> rpcs, double timeout) {
+        JsonArray array = new JsonArray();
+        for (RpcRequest rpc : rpcs) {
+            array.add(new JsonObject().add("id", rpc.id())
+                    .add("body", Base64.getEncoder().encodeToString(rpc.body())));
+        }
+        return HttpMessage.request("POST", "/receive-many", array.toString().getBytes(StandardCharsets.UTF_8),
+                "Host", "endpoint", "Content-Type", "application/json",
+                "X-Budget", Math.max(1, Math.round(timeout * 1000)) + "m");
+    }
+
+    // ---- what an answer means ----
+
+    private static List<CallEnd> ends(HttpMessage response, List<RpcRequest> rpcs) {
+        if (response.status() != 200 || rpcs.size() == 1) {
+            CallEnd end = switch (response.status()) {
+                case 200 -> CallEnd.DELIVERED;
+                case 429 -> CallEnd.TURNED_AWAY;
+                case 503 -> response.get("X-No-Slot") != null ? CallEnd.NO_SLOT : CallEnd.TURNED_AWAY;
+                case 504 -> CallEnd.SPENT;
+                case 410 -> CallEnd.OVER;
+                default -> CallEnd.FAILED;
+            };
+            return rpcs.stream().map(rpc -> end).toList();
+        }
+        Map<String, CallEnd> byId = new HashMap<>();
+        try {
+            for (JsonValue value : Json.parse(response.text()).asArray()) {
+                JsonObject entry = value.asObject();
+                byId.put(entry.getString("id", ""), switch (entry.getString("state", "")) {
+                    case "delivered" -> CallEnd.DELIVERED;
+                    case "refused" -> CallEnd.TURNED_AWAY;
+                    case "over" -> CallEnd.OVER;
+                    case "spent" -> CallEnd.SPENT;
+                    default -> CallEnd.FAILED;
+                });
+            }
+        } catch (ParseException | UnsupportedOperationException e) {
+            byId.clear(); // unreadable: each may have run
+        }
+        return rpcs.stream().map(rpc -> byId.getOrDefault(rpc.id(), CallEnd.FAILED)).toList();
+    }
+
+    private static double told(HttpMessage response) {
+        String wait = response.get("Retry-After");
+        try {
+            return wait == null ? 0 : Math.max(0, Double.parseDouble(wait.strip()));
+        } catch (NumberFormatException e) {
+            return 0;
+        }
+    }
+
+    private Report report(HttpMessage response) {
+        String text = response.get("X-Load-Report");
+        if (text == null || config.settings().limitField() < 0) {
+            return null;
+        }
+        double limit = 0;
+        double left = 0;
+        for (String part : text.split(",")) {
+            int at = part.indexOf('=');
+            try {
+                double value = at < 0 ? 0 : Double.parseDouble(part.substring(at + 1).strip());
+                limit = at >= 0 && part.substring(0, at).strip().equals("x1") ? value : limit;
+                left = at >= 0 && part.substring(0, at).strip().equals("x0") ? value : left;
+            } catch (NumberFormatException e) {
+                return null;
+            }
+        }
+        return new Report(limit, left);
+    }
+
+    // ---- probes and idle connections ----
+
+    @Override
+    public void probe(Target subchannel, Probed probed) {
+        long from = System.nanoTime();
+        InetSocketAddress address = resolver.address(subchannel.id());
+        HttpPool.Exchange exchange = pool.exchange(address, HttpMessage.request("GET", "/alive", new byte[0],
+                "Host", "endpoint"), () -> true, new HttpPool.Listener() {
+                    @Override
+                    public void answered(HttpMessage response) {
+                        probed.probed(response.status() == 200, response.status() == 503,
+                                (System.nanoTime() - from) / 1e9);
+                    }
+
+                    @Override
+                    public void ended(CallEnd why) {
+                        probed.probed(false, false, (System.nanoTime() - from) / 1e9);
+                    }
+                });
+        network.scheduler().schedule(() -> exchange.abandon(CallEnd.TIMED_OUT), PROBE_MS,
+                TimeUnit.MILLISECONDS);
+    }
+
+    @Override
+    public void closeIdle(Target subchannel) {
+        pool.closeIdle(resolver.address(subchannel.id()));
+    }
+}
--- /dev/null
+++ b/src/main/java/juniperusher/http/Platform.java
@@ -0,0 +1,74 @@
+package juniperusher.http;
+
+import java.io.Closeable;
+import java.nio.file.Path;
+import juniperusher.core.Counters;
+import juniperusher.core.Relay;
+import juniperusher.core.Subchannels;
+import juniperusher.net.HttpPool;
+import juniperusher.net.Network;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** A relay on the platform: the core between the platform's front and its endpoints. */
+public final class Platform implements AutoCloseable {
+    private static final Logger LOG = LoggerFactory.getLogger(Platform.class);
+    private static final double IDLE_SHARE = 0.8; // of the endpoints' idle time: closed by us before
+    private static final long LAST_UNSAFE = 1_200; // ms after SIGTERM: time for an answer before the end
+    private static final long SERVE = 3_200; // ms after SIGTERM; SIGKILL comes after 3.7 s
+
+    private final Network network;
+    private final Relay relay;
+    private final Resolver resolver;
+    private final Peers peers;
+    private final PlatformFront front;
+    private final Closeable listener;
+    private final Counters counters;
+
+    /** Starts a relay that keeps its journal in {@code state}. */
+    public Platform(Config config, Path state, Counters counters) throws Exception {
+        this.counters = counters;
+        var allowed = config.settings().settings().allowed();
+        network = new Network(allowed.connectTimeout());
+        HttpPool pool = new HttpPool(network, allowed.keepAlive() * IDLE_SHARE);
+        peers = new Peers(config);
+        Relay[] made = new Relay[1];
+        resolver = new Resolver(config, pool, network, list -> made[0].resolved(list));
+        Subchannels subchannels = new HttpSubchannels(config, pool, network, resolver);
+        relay = new Relay(config.settings().settings(), config.seed(), config.gap(), state,
+                config.diskBytes(), counters, subchannels, peers::send);
+        made[0] = relay;
+        Notices notices = new Notices(config.discovery(), pool, network);
+        counters.gauge("notices_waiting", notices::waiting);
+        front = new PlatformFront(config, notices, counters, relay);
+        relay.add(front);
+        relay.start(resolver.known());
+        resolver.start();
+        peers.start(relay::tell);
+        listener = front.listen(network);
+        LOG.info("serving on {}", config.listen());
+    }
+
+    /** What SIGTERM asks for: serves what still arrives, starts nothing that could not finish, then ends. */
+    public void drain() throws InterruptedException {
+        long from = System.currentTimeMillis();
+        relay.noUnsafeAfter(from + LAST_UNSAFE);
+        Thread.sleep(SERVE);
+        LOG.info("ending with {} RPCs owed", relay.held());
+    }
+
+    /** The counters. */
+    public Counters counters() {
+        return counters;
+    }
+
+    @Override
+    public void close() throws Exception {
+        front.close();
+        resolver.stop();
+        listener.close();
+        peers.close();
+        relay.close();
+        network.close();
+    }
+}
--- /dev/null
+++ b/src/main/java/juniperusher/http/PlatformFront.java
@@ -0,0 +1,131 @@
+package juniperusher.http;
+
+import java.io.Closeable;
+import java.io.IOException;
+import juniperusher.core.Channel;
+import juniperusher.core.Counters;
+import juniperusher.core.Front;
+import juniperusher.core.Relay;
+import juniperusher.core.RpcEnd;
+import juniperusher.core.RpcRequest;
+import juniperusher.core.UnavailableStatus;
+import juniperusher.net.HttpMessage;
+import juniperusher.net.HttpServerConnection;
+import juniperusher.net.HttpServerConnection.Responder;
+import juniperusher.net.Network;
+
+/**
+ * The platform's front: channels hand RPCs in over HTTP/1.1, ends that are not deliveries go out as notices.
+ */
+final class PlatformFront implements Front, HttpServerConnection.Handler {
+    private static final int MOST_BODY = 64 * 1024;
+
+    private final Config config;
+    private final Notices notices;
+    private final Counters counters;
+    private final Relay relay;
+    private volatile boolean closing;
+
+    PlatformFront(Config config, Notices notices, Counters counters, Relay relay) {
+        this.config = config;
+        this.notices = notices;
+        this.counters = counters;
+        this.relay = relay;
+    }
+
+    Closeable listen(Network network) throws IOException {
+        return network.listen(config.listen(), endPoint ->
+                new HttpServerConnection(endPoint, network, MOST_BODY, this));
+    }
+
+    void close() {
+        closing = true;
+    }
+
+    @Override
+    public String name() {
+        return "http";
+    }
+
+    @Override
+    public boolean tells(RpcEnd end) {
+        return end.kind() != RpcEnd.Kind.DELIVERED;
+    }
+
+    @Override
+    public void report(RpcEnd end, Runnable acknowledged) {
+        notices.add(end, acknowledged);
+    }
+
+    @Override
+    public boolean closing() {
+        return closing;
+    }
+
+    @Override
+    public void handle(HttpMessage request, Responder responder) {
+        if (request.method().equals("GET") && request.path().equals("/up")) {
+            responder.respond(HttpMessage.response(200, ""));
+        } else if (request.method().equals("GET") && request.path().equals("/metrics")) {
+            responder.respond(HttpMessage.response(200, counters.text(), "Content-Type",
+                    "text/plain; version=0.0.4"));
+        } else if (request.method().equals("POST")) {
+            take(request, responder);
+        } else {
+            responder.respond(HttpMessage.response(404, ""));
+        }
+    }
+
+    private void take(HttpMessage request, Responder responder) {
+        RpcRequest rpc;
+        try {
+            rpc = read(request);
+        } catch (IllegalArgumentException e) {
+            responder.respond(HttpMessage.response(400, e.getMessage() + '\n'));
+            return;
+        }
+        relay.offer(rpc, new Channel() {
+            @Override
+            public void takenOn() {
+                responder.respond(HttpMessage.response(202, ""));
+            }
+
+            @Override
+            public void refused(UnavailableStatus status) {
+                responder.respond(status.retryAfter() > 0 ? HttpMessage.response(503, "", "Retry-After",
+                        Double.toString(status.retryAfter())) : HttpMessage.response(503, ""));
+            }
+        });
+    }
+
+    private RpcRequest read(HttpMessage request) {
+        String id = request.get("X-Call-Id");
+        if (id == null || id.isEmpty() || id.length() > 200) {
+            throw new IllegalArgumentException("X-Call-Id is missing or too long");
+        }
+        int place = config.classes().indexOf(String.valueOf(request.get("X-Call-Class")));
+        if (place < 0) {
+            throw new IllegalArgumentException("X-Call-Class is unknown");
+        }
+        return new RpcRequest(id, name(), place, destination(request.get("X-Envelope")),
+                System.currentTimeMillis() + budget(request.get("X-Budget")), "", false, request.body());
+    }
+
+    private static int destination(String envelope) {
+        for (String part : envelope == null ? new String[0] : envelope.split("[,;]")) {
+            if (part.strip().startsWith("dest=")) {
+                return Integer.parseInt(part.strip().substring("dest=".length()));
+            }
+        }
+        throw new IllegalArgumentException("X-Envelope names no destination");
+    }
+
+    /** Milliseconds of a budget such as 480m or 480000u. */
+    static long budget(String text) {
+        if (text == null || !text.matches("\\d{1,12}(\\.\\d{1,6})?[mu]")) {
+            throw new IllegalArgumentException("X-Budget is missing or unreadable");
+        }
+        double number = Double.parseDouble(text.substring(0, text.length() - 1));
+        return (long) (text.endsWith("m") ? number : number / 1000);
+    }
+}
--- /dev/null
+++ b/src/main/java/juniperusher/net/HttpMessage.java
@@ -0,0 +1,102 @@
+package juniperusher.net;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import org.eclipse.jetty.http.HttpField;
+import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.http.HttpGenerator;
+import org.eclipse.jetty.http.HttpURI;
+import org.eclipse.jetty.http.HttpVersion;
+import org.eclipse.jetty.http.MetaData;
+import org.eclipse.jetty.util.BufferUtil;
+
+/**
+ * One request or response.
+ *
+ * @param start  method and path of a request, the status of a response
+ * @param fields header fields
+ * @param body   the content
+ */
+public record HttpMessage(String start, HttpFields fields, byte[] body) {
+    private static final int HEAD = 4096;
+
+    /** A request; {@code fields} are names and values in turn. */
+    public static HttpMessage request(String method, String path, byte[] body, String... fields) {
+        return new HttpMessage(method + ' ' + path, fields(fields), body);
+    }
+
+    /** A response. */
+    public static HttpMessage response(int status, String body, String... fields) {
+        return new HttpMessage(Integer.toString(status), fields(fields),
+                body.getBytes(StandardCharsets.UTF_8));
+    }
+
+    private static HttpFields fields(String... fields) {
+        HttpFields.Mutable out = HttpFields.build();
+        for (int i = 0; i < fields.length; i += 2) {
+            out.add(new HttpField(fields[i], fields[i + 1]));
+        }
+        return out;
+    }
+
+    /** Method of a request. */
+    public String method() {
+        return start.substring(0, start.indexOf(' '));
+    }
+
+    /** Path of a request. */
+    public String path() {
+        return start.substring(start.indexOf(' ') + 1);
+    }
+
+    /** Status of a response. */
+    public int status() {
+        return Integer.parseInt(start);
+    }
+
+    /** The field's value or null. */
+    public String get(String name) {
+        return fields.get(name);
+    }
+
+    /** The content as text. */
+    public String text() {
+        return new String(body, StandardCharsets.UTF_8);
+    }
+
+    ByteBuffer bytes() {
+        HttpGenerator generator = new HttpGenerator();
+        boolean request = start.indexOf(' ') > 0;
+        MetaData.Request asked = request ? new MetaData.Request(0, method(), HttpURI.from(path()),
+                HttpVersion.HTTP_1_1, fields, body.length) : null;
+        MetaData.Response told = request ? null : new MetaData.Response(status(), null, HttpVersion.HTTP_1_1,
+                fields, body.length);
+        ByteBuffer head = BufferUtil.allocate(HEAD);
+        ByteBuffer content = ByteBuffer.wrap(body);
+        ByteArrayOutputStream out = new ByteArrayOutputStream(HEAD + body.length);
+        try {
+            while (true) {
+                HttpGenerator.Result result = request ? generator.generateRequest(asked, head, null,
+                        content, true)
+                        : generator.generateResponse(told, false, head, null, content, true);
+                switch (result) {
+                    case FLUSH -> {
+                        BufferUtil.writeTo(head, out);
+                        BufferUtil.clear(head);
+                        BufferUtil.writeTo(content, out);
+                        BufferUtil.clear(content);
+                    }
+                    case CONTINUE, SHUTDOWN_OUT -> { }
+                    case DONE -> {
+                        return ByteBuffer.wrap(out.toByteArray());
+                    }
+                    default -> throw new IllegalStateException("generator wants " + result);
+                }
+            }
+        } catch (IOException e) {
+            throw new IllegalArgumentException("message cannot be written: " + start, e);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/juniperusher/net/Network.java
@@ -0,0 +1,156 @@
+package juniperusher.net;
+
+import java.io.Closeable;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.StandardSocketOptions;
+import java.nio.channels.SelectableChannel;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.ServerSocketChannel;
+import java.nio.channels.SocketChannel;
+import java.util.function.Function;
+import org.eclipse.jetty.io.Connection;
+import org.eclipse.jetty.io.EndPoint;
+import org.eclipse.jetty.io.ManagedSelector;
+import org.eclipse.jetty.io.SelectorManager;
+import org.eclipse.jetty.io.SocketChannelEndPoint;
+import org.eclipse.jetty.util.component.LifeCycle;
+import org.eclipse.jetty.util.thread.QueuedThreadPool;
+import org.eclipse.jetty.util.thread.ScheduledExecutorScheduler;
+import org.eclipse.jetty.util.thread.Scheduler;
+
+/** Jetty's selector, its threads and its timers, for the connections of every front. */
+public final class Network implements AutoCloseable {
+    private static final int MOST_THREADS = 24;
+
+    private final QueuedThreadPool threads = new QueuedThreadPool(MOST_THREADS, 4);
+    private final Scheduler scheduler = new ScheduledExecutorScheduler("timers", true);
+    private final Selector selector = new Selector();
+
+    /** Someone who wants a connection: makes its object once it is up, or hears why it is not. */
+    public interface Dial {
+        /** The connection is up. */
+        Connection connected(EndPoint endPoint);
+
+        /** It was refused or did not come up in time. */
+        void failed(Throwable why);
+    }
+
+    /**
+     * A network whose connections count as failed if they are not up within {@code connectTimeout} seconds.
+     */
+    public Network(double connectTimeout) throws Exception {
+        threads.setName("net");
+        threads.setDaemon(true);
+        threads.setReservedThreads(1);
+        selector.setConnectTimeout((long) (connectTimeout * 1000));
+        threads.start();
+        scheduler.start();
+        selector.start();
+    }
+
+    /** Listens on the address; each connection that comes in is served by what the factory makes. */
+    public Closeable listen(InetSocketAddress address, Function<EndPoint, Connection> factory)
+            throws IOException {
+        ServerSocketChannel channel = ServerSocketChannel.open();
+        channel.setOption(StandardSocketOptions.SO_REUSEADDR, true);
+        channel.bind(address, 512);
+        channel.configureBlocking(false);
+        Closeable acceptor = selector.listen(channel, factory);
+        return () -> {
+            acceptor.close();
+            channel.close();
+        };
+    }
+
+    /** Opens a connection. */
+    public void connect(InetSocketAddress address, Dial dial) {
+        SocketChannel channel = null;
+        try {
+            channel = SocketChannel.open();
+            channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
+            channel.configureBlocking(false);
+            if (channel.connect(address)) {
+                selector.accept(channel, dial);
+            } else {
+                selector.connect(channel, dial);
+            }
+        } catch (IOException | RuntimeException e) {
+            if (channel != null) {
+                try {
+                    channel.close();
+                } catch (IOException ignored) {
+                    e.addSuppressed(ignored);
+                }
+            }
+            dial.failed(e);
+        }
+    }
+
+    /** Timers. */
+    public Scheduler scheduler() {
+        return scheduler;
+    }
+
+    /** Threads for what a connection has to do. */
+    public QueuedThreadPool threads() {
+        return threads;
+    }
+
+    @Override
+    public void close() {
+        LifeCycle.stop(selector);
+        LifeCycle.stop(scheduler);
+        LifeCycle.stop(threads);
+    }
+
+    private final class Selector extends SelectorManager {
+        private final java.util.Map<SelectableChannel, Function<EndPoint, Connection>> listeners =
+                new java.util.concurrent.ConcurrentHashMap<>();
+
+        Selector() {
+            super(threads, scheduler, 1);
+        }
+
+        Closeable listen(ServerSocketChannel channel, Function<EndPoint, Connection> factory) {
+            listeners.put(channel, factory);
+            return acceptor(channel);
+        }
+
+        @Override
+        protected void accepted(SelectableChannel channel) throws IOException {
+            SocketChannel socket = (SocketChannel) channel;
+            socket.configureBlocking(false);
+            socket.setOption(StandardSocketOptions.TCP_NODELAY, true);
+            int port = ((InetSocketAddress) socket.getLocalAddress()).getPort();
+            for (var listener : listeners.entrySet()) {
+                InetSocketAddress at = (InetSocketAddress) ((ServerSocketChannel) listener.getKey())
+                        .getLocalAddress();
+                if (at != null && at.getPort() == port) {
+                    accept(socket, listener.getValue());
+                    return;
+                }
+            }
+            socket.close();
+        }
+
+        @Override
+        protected EndPoint newEndPoint(SelectableChannel channel, ManagedSelector managed, SelectionKey key) {
+            return new SocketChannelEndPoint((SocketChannel) channel, managed, key, getScheduler());
+        }
+
+        @Override
+        @SuppressWarnings("unchecked")
+        public Connection newConnection(SelectableChannel channel, EndPoint endPoint, Object attachment) {
+            return attachment instanceof Dial dial ? dial.connected(endPoint)
+                    : ((Function<EndPoint, Connection>) attachment).apply(endPoint);
+        }
+
+        @Override
+        protected void connectionFailed(SelectableChannel channel, Throwable why, Object attachment) {
+            if (attachment instanceof Dial dial) {
+                dial.failed(why);
+            }
+        }
+    }
+}
