--- /dev/null
+++ b/src/main/java/juniperusher/amqp/AmqpExtension.java
@@ -0,0 +1,62 @@
+package juniperusher.amqp;
+
+import java.io.Closeable;
+import java.util.List;
+import juniperusher.Protocol.Kind;
+import juniperusher.Protocol.Settings;
+import juniperusher.Protocol.Target;
+import juniperusher.core.Extension;
+import juniperusher.core.Relay;
+import juniperusher.core.Subchannels;
+import juniperusher.net.Network;
+
+/** The AMQP 0-9-1 front and its brokers as one part of a relay. */
+public final class AmqpExtension implements Extension {
+    private final AmqpConfig config;
+    private final List<String> classNames;
+    private final Settings settings;
+    private final Network network;
+    private final AmqpSubchannels subchannels;
+    private AmqpFront front;
+    private Closeable listener;
+
+    /** Made of the file's words and the relay's settings. */
+    public AmqpExtension(AmqpConfig config, List<String> classNames, Settings settings, Network network) {
+        this.config = config;
+        this.classNames = classNames;
+        this.settings = settings;
+        this.network = network;
+        subchannels = new AmqpSubchannels(config, network);
+    }
+
+    @Override
+    public List<Target> targets() {
+        int single = settings.kinds().stream().map(Kind::batch).toList().indexOf(1);
+        return subchannels.targets(Math.max(0, single));
+    }
+
+    @Override
+    public Subchannels subchannels() {
+        return subchannels;
+    }
+
+    @Override
+    public void join(Relay relay) {
+        front = new AmqpFront(config, classNames, settings.classes(), relay);
+        relay.add(front);
+    }
+
+    @Override
+    public void open() throws Exception {
+        if (config.listen() != null) {
+            listener = front.listen(network);
+        }
+    }
+
+    @Override
+    public void close() throws Exception {
+        if (listener != null) {
+            listener.close();
+        }
+    }
+}
--- a/src/main/java/juniperusher/cli/Main.java
+++ b/src/main/java/juniperusher/cli/Main.java
@@ -1,13 +1,18 @@
 package juniperusher.cli;
 
 import com.beust.jcommander.JCommander;
+import com.beust.jcommander.Parameter;
 import com.beust.jcommander.ParameterException;
 import com.beust.jcommander.Parameters;
 import java.io.IOException;
 import java.nio.file.Path;
+import juniperusher.amqp.AmqpConfig;
+import juniperusher.amqp.AmqpExtension;
 import juniperusher.core.Counters;
+import juniperusher.core.Extension;
 import juniperusher.http.Config;
 import juniperusher.http.Platform;
+import juniperusher.net.Network;
 import juniperusher.sim.SimHost;
 
 /** The command line. */
@@ -62,11 +67,19 @@
 
     @Parameters(commandDescription = "Runs one relay, as RELAY_CONFIG and RELAY_STATE say")
     private static final class Serve implements Command {
+        @Parameter(names = "--amqp", description = "File that says where the AMQP 0-9-1 front listens and "
+                + "which destinations are brokers; without it that front is off")
+        private String amqp;
+
         @Override
         public int run() throws Exception {
             Config config = Config.read(Path.of(variable("RELAY_CONFIG")));
             Counters counters = new Counters();
-            Platform platform = new Platform(config, Path.of(variable("RELAY_STATE")), counters);
+            Network network = new Network(config.settings().settings().allowed().connectTimeout());
+            Extension extension = amqp == null ? null : new AmqpExtension(AmqpConfig.read(Path.of(amqp)),
+                    config.classes(), config.settings().settings(), network);
+            Platform platform = new Platform(config, Path.of(variable("RELAY_STATE")), counters, network,
+                    extension);
             Runtime.getRuntime().addShutdownHook(new Thread(() -> {
                 try {
                     platform.drain();
--- a/src/main/java/juniperusher/core/Front.java
+++ b/src/main/java/juniperusher/core/Front.java
@@ -8,6 +8,10 @@
     /** Whether this end is told to somebody; if not, it is over once it is in the journal. */
     boolean tells(RpcEnd end);
 
-    /** Tells the end, again and again until it is acknowledged; then runs {@code acknowledged} once. */
-    void report(RpcEnd end, Runnable acknowledged);
+    /**
+     * Tells the end, again and again until it is acknowledged; then runs {@code acknowledged} once.
+     *
+     * @param again an earlier process may have told it already
+     */
+    void report(RpcEnd end, boolean again, Runnable acknowledged);
 }
--- a/src/main/java/juniperusher/core/Journal.java
+++ b/src/main/java/juniperusher/core/Journal.java
@@ -90,7 +90,8 @@
         }
         owed.replaceAll((number, left) -> left.settled());
         recovered = List.copyOf(owed.values());
-        live = owed.values().stream().mapToLong(Owed::size).sum();
+        live = owed.values().stream().mapToLong(Owed::size).sum()
+                + lately.keySet().stream().mapToLong(Journal::rememberedSize).sum();
         compact();
     }
 
@@ -178,10 +179,14 @@
     private void remember(Owed entry, long at) {
         // What was handed back never ran and may come again under its id.
         if (entry.request().once() && entry.end().kind() != RpcEnd.Kind.HANDED_BACK) {
-            lately.put(entry.request().key(), at);
+            live += lately.put(entry.request().key(), at) == null ? rememberedSize(entry.request().key()) : 0;
         }
     }
 
+    private static long rememberedSize(String key) {
+        return HEADER + 16 + 3L * key.length();
+    }
+
     // ---- records ----
 
     private interface Fields {
@@ -323,7 +328,11 @@
                     StandardOpenOption.CREATE_NEW, StandardOpenOption.WRITE);
             ByteArrayOutputStream all = new ByteArrayOutputStream();
             long now = System.currentTimeMillis();
-            lately.values().removeIf(at -> now - at >= LATELY);
+            lately.entrySet().removeIf(entry -> {
+                boolean gone = now - entry.getValue() >= LATELY;
+                live -= gone ? rememberedSize(entry.getKey()) : 0;
+                return gone;
+            });
             for (Map.Entry<String, Long> entry : lately.entrySet()) {
                 all.write(record(REMEMBERED, out -> {
                     out.writeUTF(entry.getKey());
--- a/src/main/java/juniperusher/core/Relay.java
+++ b/src/main/java/juniperusher/core/Relay.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
 import juniperusher.Control;
@@ -47,6 +48,7 @@
     private final Map<String, Front> fronts = new HashMap<>();
     private final Map<Integer, Rpc> held = new ConcurrentHashMap<>();
     private final Map<String, Rpc> heldIds = new ConcurrentHashMap<>();
+    private final Set<String> arriving = ConcurrentHashMap.newKeySet();
     private final AtomicInteger owed = new AtomicInteger();
     private volatile long noUnsafeAfter = Long.MAX_VALUE;
     private Thread loopThread;
@@ -87,7 +89,7 @@
     private void recover(Journal.Owed left) {
         RpcRequest request = left.request();
         if (left.end() != null) {
-            tell(left.number(), request, left.end());
+            tell(left.number(), request, left.end(), true);
             return;
         }
         boolean unsafe = settings.classes().get(request.messageClass()).effect() == Effect.UNSAFE;
@@ -107,6 +109,18 @@
 
     /** Takes the RPC on, or refuses it; the channel is told before this returns. */
     public void offer(RpcRequest request, Channel channel) {
+        if (!arriving.add(request.key())) {
+            refuse(request, channel, "twice"); // the same id at this very moment on another connection
+            return;
+        }
+        try {
+            admit(request, channel);
+        } finally {
+            arriving.remove(request.key());
+        }
+    }
+
+    private void admit(RpcRequest request, Channel channel) {
         if (heldIds.containsKey(request.key()) || request.once() && journal.lately(request.key())) {
             channel.takenOn(); // the same handing-in once more: it is owed one end, not two
             return;
@@ -253,15 +267,15 @@
         owed.decrementAndGet();
         counters.add("answered_total", "front", request.front(), "class", "" + request.messageClass(), "end",
                 end.kind().name().toLowerCase(Locale.ROOT));
-        tell(rpc.number(), request, end);
+        tell(rpc.number(), request, end, false);
     }
 
-    private void tell(int number, RpcRequest request, RpcEnd end) {
+    private void tell(int number, RpcRequest request, RpcEnd end, boolean again) {
         Front front = fronts.get(request.front());
         if (front == null || !front.tells(end)) {
             journal.acknowledged(number);
         } else {
-            front.report(end, () -> journal.acknowledged(number));
+            front.report(end, again, () -> journal.acknowledged(number));
         }
     }
 
--- a/src/main/java/juniperusher/http/Platform.java
+++ b/src/main/java/juniperusher/http/Platform.java
@@ -2,8 +2,14 @@
 
 import java.io.Closeable;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import juniperusher.Protocol.Target;
+import juniperusher.Protocol.TargetList;
 import juniperusher.core.Counters;
+import juniperusher.core.Extension;
 import juniperusher.core.Relay;
+import juniperusher.core.RoutedSubchannels;
 import juniperusher.core.Subchannels;
 import juniperusher.net.HttpPool;
 import juniperusher.net.Network;
@@ -18,6 +24,7 @@
     private static final long SERVE = 3_200; // ms after SIGTERM; SIGKILL comes after 3.7 s
 
     private final Network network;
+    private final Extension extension;
     private final Relay relay;
     private final Resolver resolver;
     private final Peers peers;
@@ -25,16 +32,19 @@
     private final Closeable listener;
     private final Counters counters;
 
-    /** Starts a relay that keeps its journal in {@code state}. */
-    public Platform(Config config, Path state, Counters counters) throws Exception {
+    /** Starts a relay that keeps its journal in {@code state}; {@code extension} may be null. */
+    public Platform(Config config, Path state, Counters counters, Network network, Extension extension)
+            throws Exception {
         this.counters = counters;
+        this.network = network;
+        this.extension = extension;
         var allowed = config.settings().settings().allowed();
-        network = new Network(allowed.connectTimeout());
         HttpPool pool = new HttpPool(network, allowed.keepAlive() * IDLE_SHARE);
         peers = new Peers(config);
         Relay[] made = new Relay[1];
-        resolver = new Resolver(config, pool, network, list -> made[0].resolved(list));
-        Subchannels subchannels = new HttpSubchannels(config, pool, network, resolver);
+        resolver = new Resolver(config, pool, network, list -> made[0].resolved(extended(list)));
+        Subchannels usual = new HttpSubchannels(config, pool, network, resolver);
+        Subchannels subchannels = extension == null ? usual : new RoutedSubchannels(usual, extension);
         relay = new Relay(config.settings().settings(), config.seed(), config.gap(), state,
                 config.diskBytes(), counters, subchannels, peers::send);
         made[0] = relay;
@@ -42,13 +52,29 @@
         counters.gauge("notices_waiting", notices::waiting);
         front = new PlatformFront(config, notices, counters, relay);
         relay.add(front);
-        relay.start(resolver.known());
+        if (extension != null) {
+            extension.join(relay);
+        }
+        relay.start(extended(resolver.known()));
         resolver.start();
         peers.start(relay::tell);
         listener = front.listen(network);
+        if (extension != null) {
+            extension.open();
+        }
         LOG.info("serving on {}", config.listen());
     }
 
+    /** A whole list names the extension's endpoints as well: what it leaves out is gone. */
+    private TargetList extended(TargetList list) {
+        if (extension == null || !list.whole()) {
+            return list;
+        }
+        List<Target> all = new ArrayList<>(list.targets());
+        all.addAll(extension.targets());
+        return new TargetList(true, all);
+    }
+
     /** What SIGTERM asks for: serves what still arrives, starts nothing that could not finish, then ends. */
     public void drain() throws InterruptedException {
         long from = System.currentTimeMillis();
@@ -67,6 +93,9 @@
         front.close();
         resolver.stop();
         listener.close();
+        if (extension != null) {
+            extension.close();
+        }
         peers.close();
         relay.close();
         network.close();
--- a/src/main/java/juniperusher/http/PlatformFront.java
+++ b/src/main/java/juniperusher/http/PlatformFront.java
@@ -53,7 +53,7 @@
     }
 
     @Override
-    public void report(RpcEnd end, Runnable acknowledged) {
+    public void report(RpcEnd end, boolean again, Runnable acknowledged) {
         notices.add(end, acknowledged);
     }
 
