--- a/src/main/java/juniperusher/cli/Main.java
+++ b/src/main/java/juniperusher/cli/Main.java
@@ -5,15 +5,22 @@
 import com.beust.jcommander.ParameterException;
 import com.beust.jcommander.Parameters;
 import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
 import juniperusher.amqp.AmqpConfig;
 import juniperusher.amqp.AmqpExtension;
 import juniperusher.core.Counters;
 import juniperusher.core.Extension;
+import juniperusher.core.Journal;
 import juniperusher.http.Config;
 import juniperusher.http.Platform;
 import juniperusher.net.Network;
 import juniperusher.sim.SimHost;
+import juniperusher.sim.WireException;
 
 /** The command line. */
 public final class Main {
@@ -37,7 +44,10 @@
         } catch (ParameterException e) {
             System.err.println("juniperusher: " + e.getMessage());
             code = 2;
-        } catch (IllegalArgumentException | IOException e) {
+        } catch (NoSuchFileException e) {
+            System.err.println("juniperusher: there is no " + e.getMessage());
+            code = 1;
+        } catch (IllegalArgumentException | IOException | WireException | UncheckedIOException e) {
             System.err.println("juniperusher: " + e.getMessage());
             code = 1;
         }
@@ -48,12 +58,20 @@
 
     private static Command command(String[] args) {
         JCommander commands = JCommander.newBuilder().programName("juniperusher")
-                .addCommand("serve", new Serve()).addCommand("simhost", new HostSimulator()).build();
+                .addCommand("serve", new Serve()).addCommand("simhost", new HostSimulator())
+                .addCommand("counters", new ShowCounters()).addCommand("state", new ShowState())
+                .addCommand("version", new ShowVersion()).addCommand("help", new Help()).build();
         commands.parse(args);
         if (commands.getParsedCommand() == null) {
             throw new ParameterException("name a command: "
                     + String.join(", ", commands.getCommands().keySet()));
         }
+        if (commands.getParsedCommand().equals("help")) {
+            return () -> {
+                commands.usage();
+                return 0;
+            };
+        }
         return (Command) commands.getCommands().get(commands.getParsedCommand()).getObjects().get(0);
     }
 
@@ -94,6 +112,55 @@
         }
     }
 
+    @Parameters(commandDescription = "Prints the counters of relays that run, in Prometheus' text format")
+    private static final class ShowCounters implements Command {
+        @Parameter(description = "address of a relay, as host:port; more may follow", required = true)
+        private List<String> addresses = new ArrayList<>();
+
+        @Override
+        public int run() throws IOException {
+            for (String address : addresses) {
+                System.out.print(Scrape.counters(Config.address(address)));
+            }
+            return 0;
+        }
+    }
+
+    @Parameters(commandDescription = "Prints what the journal in a folder holds; it changes nothing")
+    private static final class ShowState implements Command {
+        @Parameter(description = "the folder that RELAY_STATE names", required = true)
+        private String folder;
+
+        @Override
+        public int run() throws IOException {
+            for (Journal.Owed owed : Journal.read(Path.of(folder))) {
+                System.out.println(owed.number() + " " + owed.request().key() + " dest="
+                        + owed.request().destination() + " class=" + owed.request().messageClass()
+                        + " attempts=" + owed.attempts() + " may_have_run=" + owed.mayHaveRun() + " end="
+                        + (owed.end() == null ? "owed" : owed.end().kind().name().toLowerCase(Locale.ROOT)));
+            }
+            return 0;
+        }
+    }
+
+    @Parameters(commandDescription = "Prints the version")
+    private static final class ShowVersion implements Command {
+        @Override
+        public int run() {
+            String version = Main.class.getPackage().getImplementationVersion();
+            System.out.println("juniperusher " + (version == null ? "(not from its jar)" : version));
+            return 0;
+        }
+    }
+
+    @Parameters(commandDescription = "Prints the commands and their options")
+    private static final class Help implements Command {
+        @Override
+        public int run() {
+            return 0;
+        }
+    }
+
     static String variable(String name) {
         String value = System.getenv(name);
         if (value == null || value.isEmpty()) {
--- /dev/null
+++ b/src/main/java/juniperusher/cli/Scrape.java
@@ -0,0 +1,53 @@
+package juniperusher.cli;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import juniperusher.core.CallEnd;
+import juniperusher.net.HttpMessage;
+import juniperusher.net.HttpPool;
+import juniperusher.net.Network;
+
+/** Asks a relay that runs for its counters. */
+final class Scrape {
+    private static final double PATIENCE = 3.0; // s
+
+    private Scrape() {
+    }
+
+    static String counters(InetSocketAddress address) throws IOException {
+        CompletableFuture<HttpMessage> answer = new CompletableFuture<>();
+        try (Network network = new Network(PATIENCE)) {
+            new HttpPool(network, PATIENCE).exchange(address, HttpMessage.request("GET", "/metrics",
+                    new byte[0],
+                    "Host", "relay"), () -> true, new HttpPool.Listener() {
+                        @Override
+                        public void answered(HttpMessage response) {
+                            answer.complete(response);
+                        }
+
+                        @Override
+                        public void ended(CallEnd why) {
+                            answer.completeExceptionally(new IOException("no answer from " + address + ": "
+                                    + why.name().toLowerCase(java.util.Locale.ROOT)));
+                        }
+                    });
+            HttpMessage response = answer.get((long) (PATIENCE * 1000), TimeUnit.MILLISECONDS);
+            if (response.status() != 200) {
+                throw new IOException(address + " answers " + response.status());
+            }
+            return response.text();
+        } catch (ExecutionException e) {
+            throw new IOException(e.getCause().getMessage(), e);
+        } catch (TimeoutException e) {
+            throw new IOException("no answer from " + address + " in " + PATIENCE + " s", e);
+        } catch (IOException e) {
+            throw e;
+        } catch (Exception e) {
+            throw new IOException(e.toString(), e);
+        }
+    }
+}
--- a/src/main/java/juniperusher/core/Journal.java
+++ b/src/main/java/juniperusher/core/Journal.java
@@ -95,6 +95,21 @@
         compact();
     }
 
+    private Journal(Path folder) throws IOException {
+        this.folder = folder;
+        limit = 0;
+        reserve = 0;
+        for (Path path : segments(folder)) {
+            replay(Files.readAllBytes(path));
+        }
+        recovered = List.copyOf(owed.values());
+    }
+
+    /** What the journal in the folder holds, read without changing it. */
+    public static List<Owed> read(Path folder) throws IOException {
+        return new Journal(folder).recovered;
+    }
+
     private static List<Path> segments(Path folder) throws IOException {
         try (Stream<Path> paths = Files.list(folder)) {
             return paths.filter(path -> path.getFileName().toString().matches("journal-\\d{8}"))
--- a/src/main/java/juniperusher/http/Config.java
+++ b/src/main/java/juniperusher/http/Config.java
@@ -12,6 +12,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import juniperusher.sim.SettingsParser;
+import juniperusher.sim.WireException;
 
 /**
  * What the platform tells a relay at its start.
@@ -40,9 +41,12 @@
     public static Config read(Path file) throws IOException {
         try {
             return parse(Json.parse(Files.readString(file)).asObject());
-        } catch (ParseException | UnsupportedOperationException | NullPointerException e) {
+        } catch (ParseException | UnsupportedOperationException | NullPointerException | WireException
+                | IllegalArgumentException e) {
+            String what = e instanceof NullPointerException ? "a part that is needed is missing"
+                    : e.getMessage();
             throw new IllegalArgumentException("configuration " + file.getFileName() + " cannot be read: "
-                    + e.getMessage(), e);
+                    + what, e);
         }
     }
 
--- /dev/null
+++ b/src/test/java/juniperusher/ImportsTest.java
@@ -0,0 +1,44 @@
+package juniperusher;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.Stream;
+import org.testng.annotations.Test;
+
+/** Which package may know which. */
+public class ImportsTest {
+    private static final Path ROOT = Path.of("src/main/java/juniperusher");
+    private static final Map<String, List<String>> FORBIDDEN = Map.of(
+            "core", List.of("juniperusher.http", "juniperusher.amqp", "juniperusher.net", "juniperusher.cli",
+                    "juniperusher.sim", "org.eclipse.jetty"),
+            "net", List.of("juniperusher.http", "juniperusher.amqp", "juniperusher.cli", "juniperusher.sim"),
+            "http", List.of("juniperusher.amqp", "juniperusher.cli"),
+            "amqp", List.of("juniperusher.http", "juniperusher.cli", "juniperusher.sim"),
+            "sim", List.of("juniperusher.core", "juniperusher.http", "juniperusher.amqp", "juniperusher.net",
+                    "juniperusher.cli", "org.eclipse.jetty"));
+
+    @Test
+    public void noPackageNamesOneThatItMayNotKnow() throws IOException {
+        List<String> broken = new ArrayList<>();
+        int read = 0;
+        for (Map.Entry<String, List<String>> rule : FORBIDDEN.entrySet()) {
+            try (Stream<Path> files = Files.list(ROOT.resolve(rule.getKey()))) {
+                for (Path file : files.toList()) {
+                    read++;
+                    String text = Files.readString(file);
+                    rule.getValue().stream().filter(name -> text.contains(name + "."))
+                            .forEach(name -> broken.add(file + " knows " + name));
+                }
+            }
+        }
+        assertEquals(broken, List.of());
+        assertTrue(read > 30, "only " + read + " files were read");
+    }
+}
--- /dev/null
+++ b/src/test/java/juniperusher/net/ExchangesTest.java
@@ -0,0 +1,68 @@
+package juniperusher.net;
+
+import com.eclipsesource.json.Json;
+import com.eclipsesource.json.JsonArray;
+import com.eclipsesource.json.JsonObject;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.stream.Stream;
+import juniperusher.amqp.AmqpConfig;
+import juniperusher.amqp.AmqpExtension;
+import juniperusher.core.Counters;
+import juniperusher.http.Config;
+import juniperusher.http.Platform;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Each recorded exchange, played against a relay of its own. */
+public class ExchangesTest {
+    private static final Path RECORDED = Path.of("src/test/resources/exchanges");
+
+    @DataProvider
+    public Object[][] recorded() throws IOException {
+        try (Stream<Path> files = Files.list(RECORDED)) {
+            return files.sorted().map(file -> new Object[] {file}).toArray(Object[][]::new);
+        }
+    }
+
+    private static int unused() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+            return socket.getLocalPort();
+        }
+    }
+
+    private static String at(int port) {
+        return "127.0.0.1:" + port;
+    }
+
+    @Test(dataProvider = "recorded")
+    public void theProgramSaysWhatWasRecorded(Path file) throws Exception {
+        Path folder = Files.createTempDirectory("exchange");
+        try (Player player = new Player()) {
+            JsonObject json = Json.parse(Files.readString(Path.of("src/test/resources/relay.json"))).asObject();
+            int listen = unused();
+            int amqp = unused();
+            player.client("client", listen);
+            player.client("publisher", amqp);
+            json.set("listen", at(listen)).set("discovery", at(player.server("platform")));
+            json.get("known").asObject().set("servers", new JsonArray().add(new JsonObject().add("id", "s-1")
+                    .add("addr", at(player.server("endpoint"))).add("zone", "lisboa-1").add("cell", 7)
+                    .add("kind", "pequeno-projeto").add("state", "up").add("weight", 5)));
+            JsonObject front = Json.parse(Files.readString(Path.of("deploy/amqp.json"))).asObject();
+            front.set("listen", at(amqp));
+            front.get("brokers").asArray().get(0).asObject().set("address", at(player.server("broker")));
+            Files.writeString(folder.resolve("relay.json"), json.toString());
+            Files.writeString(folder.resolve("amqp.json"), front.toString());
+            Config config = Config.read(folder.resolve("relay.json"));
+            Network network = new Network(1);
+            try (Platform platform = new Platform(config, folder.resolve("state"), new Counters(), network,
+                    new AmqpExtension(AmqpConfig.read(folder.resolve("amqp.json")), config.classes(),
+                            config.settings().settings(), network))) {
+                player.play(file);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/juniperusher/net/Player.java
@@ -0,0 +1,143 @@
+package juniperusher.net;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.HashMap;
+import java.util.HexFormat;
+import java.util.Map;
+import java.util.regex.Pattern;
+
+/**
+ * Plays a recorded exchange against the program and compares. A line is a party, a sign and bytes: {@code >}
+ * the
+ * party sends them to the program, {@code <} the program must send exactly them, {@code !} the program must
+ * close
+ * the party's connection, {@code x} the party closes it, {@code ~} a pause in ms. Bytes are text with \r, \n
+ * and
+ * \xHH, or hexadecimal after {@code hex:}; {*} stands for anything but a line's end.
+ */
+public final class Player implements AutoCloseable {
+    private final Map<String, ServerSocket> servers = new HashMap<>();
+    private final Map<String, Integer> ports = new HashMap<>();
+    private final Map<String, Socket> sockets = new HashMap<>();
+
+    /** A party that the program connects to; its port. */
+    public int server(String party) throws IOException {
+        ServerSocket server = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
+        server.setSoTimeout(5_000);
+        servers.put(party.replaceAll("\\d", ""), server);
+        return server.getLocalPort();
+    }
+
+    /** Parties of this name connect to the program at the port. */
+    public void client(String party, int port) {
+        ports.put(party, port);
+    }
+
+    private Socket socket(String party) throws IOException {
+        Socket known = sockets.get(party);
+        if (known == null) {
+            String kind = party.replaceAll("\\d", "");
+            known = servers.containsKey(kind) ? servers.get(kind).accept()
+                    : new Socket(InetAddress.getByName("127.0.0.1"), ports.get(kind));
+            known.setSoTimeout(5_000);
+            known.setTcpNoDelay(true);
+            sockets.put(party, known);
+        }
+        return known;
+    }
+
+    /** Plays the file. */
+    public void play(Path file) throws Exception {
+        int number = 0;
+        int played = 0;
+        for (String line : Files.readAllLines(file)) {
+            number++;
+            if (line.isBlank() || line.startsWith("#")) {
+                continue;
+            }
+            played++;
+            String[] parts = line.split(" ", 2);
+            String party = parts[0].substring(0, parts[0].length() - 1);
+            String rest = parts.length > 1 ? parts[1] : "";
+            String where = file.getFileName() + ":" + number;
+            switch (parts[0].charAt(parts[0].length() - 1)) {
+                case '>' -> socket(party).getOutputStream().write(bytes(rest));
+                case '<' -> expect(socket(party).getInputStream(), rest, where);
+                case '!' -> assertEquals(read(socket(party).getInputStream()), -1, where + " is not closed");
+                case 'x' -> sockets.remove(party).close();
+                case '~' -> Thread.sleep(Long.parseLong(rest));
+                default -> throw new IllegalArgumentException(where);
+            }
+        }
+        assertTrue(played > 0, file + " holds nothing");
+    }
+
+    private static int read(InputStream in) {
+        try {
+            return in.read();
+        } catch (java.net.SocketTimeoutException e) {
+            return -2;
+        } catch (IOException e) {
+            return -1; // a reset closes as well
+        }
+    }
+
+    private static void expect(InputStream in, String text, String where) {
+        String wanted = new String(bytes(text), StandardCharsets.ISO_8859_1);
+        StringBuilder pattern = new StringBuilder();
+        for (String part : wanted.split(Pattern.quote("{*}"), -1)) {
+            pattern.append(pattern.length() > 0 ? "[^\r\n]*?" : "").append(Pattern.quote(part));
+        }
+        Pattern whole = Pattern.compile(pattern.toString(), Pattern.DOTALL);
+        StringBuilder got = new StringBuilder();
+        while (!whole.matcher(got).matches()) {
+            int next = got.length() < wanted.length() + 400 ? read(in) : -3;
+            boolean possible = next >= 0 && (wanted.contains("{*}") || wanted.startsWith(got.toString()
+                    + (char) next));
+            if (!possible) {
+                assertEquals(next >= 0 ? got.toString() + (char) next : got.toString(), wanted, where
+                        + " (read " + next + ")");
+            }
+            got.append((char) next);
+        }
+    }
+
+    private static byte[] bytes(String text) {
+        if (text.startsWith("hex:")) {
+            return HexFormat.of().parseHex(text.substring(4).replaceAll("'[^']*'", "").replace(" ", ""));
+        }
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        for (int i = 0; i < text.length(); i++) {
+            char c = text.charAt(i);
+            char next = c == '\\' ? text.charAt(++i) : 0;
+            if (next == 'x') {
+                out.write(Integer.parseInt(text.substring(i + 1, i + 3), 16));
+                i += 2;
+            } else {
+                out.write(next == 'r' ? '\r' : next == 'n' ? '\n' : next == 0 ? c : next);
+            }
+        }
+        return out.toByteArray();
+    }
+
+    @Override
+    public void close() throws IOException {
+        for (Socket socket : sockets.values()) {
+            socket.close();
+        }
+        for (ServerSocket server : servers.values()) {
+            server.close();
+        }
+    }
+}
