--- a/src/test/java/juniperusher/net/ExchangesTest.java
+++ b/src/test/java/juniperusher/net/ExchangesTest.java
@@ -42,7 +42,8 @@
     public void theProgramSaysWhatWasRecorded(Path file) throws Exception {
         Path folder = Files.createTempDirectory("exchange");
         try (Player player = new Player()) {
-            JsonObject json = Json.parse(Files.readString(Path.of("src/test/resources/relay.json"))).asObject();
+            JsonObject json =
+                    Json.parse(Files.readString(Path.of("src/test/resources/relay.json"))).asObject();
             int listen = unused();
             int amqp = unused();
             player.client("client", listen);
