--- a/src/main/java/juniperusher/cli/Main.java
+++ b/src/main/java/juniperusher/cli/Main.java
@@ -60,6 +60,7 @@
         JCommander commands = JCommander.newBuilder().programName("juniperusher")
                 .addCommand("serve", new Serve()).addCommand("simhost", new HostSimulator())
                 .addCommand("counters", new ShowCounters()).addCommand("state", new ShowState())
+                .addCommand("selftest", new RunSelfTest())
                 .addCommand("version", new ShowVersion()).addCommand("help", new Help()).build();
         commands.parse(args);
         if (commands.getParsedCommand() == null) {
@@ -89,6 +90,14 @@
                 + "which destinations are brokers; without it that front is off")
         private String amqp;
 
+        @Parameter(names = "--remote-write",
+                description = "Address that takes the counters by Prometheus remote "
+                + "write, as http://host:port/path; without it none are sent")
+        private String remoteWrite;
+
+        @Parameter(names = "--remote-write-every", description = "Seconds between two such writes")
+        private int every = 15;
+
         @Override
         public int run() throws Exception {
             Config config = Config.read(Path.of(variable("RELAY_CONFIG")));
@@ -98,6 +107,11 @@
                     config.classes(), config.settings().settings(), network);
             Platform platform = new Platform(config, Path.of(variable("RELAY_STATE")), counters, network,
                     extension);
+            if (remoteWrite != null) {
+                new RemoteWrite(remoteWrite, config.name(), Math.max(1, every) * 1000L, counters::text,
+                        network)
+                        .start();
+            }
             Runtime.getRuntime().addShutdownHook(new Thread(() -> {
                 try {
                     platform.drain();
@@ -143,6 +157,14 @@
         }
     }
 
+    @Parameters(commandDescription = "Starts a relay on loopback for a moment and hands it one RPC")
+    private static final class RunSelfTest implements Command {
+        @Override
+        public int run() throws Exception {
+            return SelfTest.run();
+        }
+    }
+
     @Parameters(commandDescription = "Prints the version")
     private static final class ShowVersion implements Command {
         @Override
--- a/src/main/java/juniperusher/core/Relay.java
+++ b/src/main/java/juniperusher/core/Relay.java
@@ -1,6 +1,7 @@
 package juniperusher.core;
 
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -132,7 +133,13 @@
             refuse(request, channel, "held");
             return;
         }
-        int number = journal.taken(request);
+        int number;
+        try {
+            number = journal.taken(request);
+        } catch (UncheckedIOException e) {
+            LOG.error("an RPC is refused, since it cannot be written down", e);
+            number = -1;
+        }
         if (number < 0) {
             owed.decrementAndGet();
             refuse(request, channel, "disk");
@@ -161,7 +168,14 @@
     private void startThread(Rpc rpc) {
         Thread thread = new Thread(null, rpc, "rpc-" + rpc.number(), STACK);
         thread.setDaemon(true);
-        thread.start();
+        try {
+            thread.start();
+        } catch (OutOfMemoryError e) {
+            // Guards against an RPC that is taken on and has nobody who answers for it: it never ran.
+            LOG.error("no thread for RPC {}", rpc.number(), e);
+            end(rpc, new RpcEnd(rpc.request().id(), rpc.request().returnAddress(), RpcEnd.Kind.HANDED_BACK,
+                    FULL_RETRY));
+        }
     }
 
     void arrived(Rpc rpc, int attemptsUsed) {
--- a/src/test/java/juniperusher/amqp/TenThousandOrdersTest.java
+++ b/src/test/java/juniperusher/amqp/TenThousandOrdersTest.java
@@ -136,7 +136,8 @@
 
     private static void configure(Path folder, InetSocketAddress listen, InetSocketAddress broker)
             throws IOException {
-        JsonObject config = Json.parse(Files.readString(Path.of("src/test/resources/relay.json"))).asObject();
+        JsonObject config =
+                Json.parse(Files.readString(Path.of("src/main/resources/selftest.json"))).asObject();
         config.set("listen", text(unused())).set("discovery", text(unused()));
         Files.writeString(folder.resolve("relay.json"), config.toString());
         JsonObject amqp = Json.parse(Files.readString(Path.of("deploy/amqp.json"))).asObject();
--- a/src/test/java/juniperusher/net/ExchangesTest.java
+++ b/src/test/java/juniperusher/net/ExchangesTest.java
@@ -43,7 +43,7 @@
         Path folder = Files.createTempDirectory("exchange");
         try (Player player = new Player()) {
             JsonObject json =
-                    Json.parse(Files.readString(Path.of("src/test/resources/relay.json"))).asObject();
+                    Json.parse(Files.readString(Path.of("src/main/resources/selftest.json"))).asObject();
             int listen = unused();
             int amqp = unused();
             player.client("client", listen);
