--- a/src/main/java/juniperusher/cli/SelfTest.java
+++ b/src/main/java/juniperusher/cli/SelfTest.java
@@ -33,7 +33,9 @@
     }
 
     static int run() throws Exception {
-        Path folder = Files.createTempDirectory("juniperusher");
+        String temporary = System.getenv("TMPDIR"); // the only place that may be written on the platform
+        Path folder = temporary == null ? Files.createTempDirectory("juniperusher")
+                : Files.createTempDirectory(Path.of(temporary), "juniperusher");
         try {
             JsonObject json;
             try (InputStream in = SelfTest.class.getResourceAsStream("/selftest.json")) {
--- a/src/main/java/juniperusher/core/Relay.java
+++ b/src/main/java/juniperusher/core/Relay.java
@@ -164,7 +164,6 @@
         heldIds.put(rpc.request().key(), rpc);
     }
 
-
     private void startThread(Rpc rpc) {
         Thread thread = new Thread(null, rpc, "rpc-" + rpc.number(), STACK);
         thread.setDaemon(true);
--- /dev/null
+++ b/src/test/java/juniperusher/core/CallsTest.java
@@ -0,0 +1,196 @@
+package juniperusher.core;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertNull;
+import static org.testng.Assert.assertTrue;
+
+import java.nio.file.Files;
+import java.util.ArrayList;
+import java.util.EnumSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import juniperusher.Protocol.Phase;
+import juniperusher.Protocol.Target;
+import juniperusher.Protocol.TargetList;
+import juniperusher.http.Config;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** How calls end, what is asked before they start, and what RPCs that share one see of it. */
+public class CallsTest {
+    private static final Target TARGET = new Target(5, 7, 1, 0, 10, Phase.READY);
+
+    private final List<Subchannels.Results> out = new ArrayList<>();
+    private final List<CallEnd> abandoned = new ArrayList<>();
+    private Relay relay;
+    private boolean cleared;
+
+    /** Calls that stay out until the test ends them. */
+    private final Subchannels stuck = new Subchannels() {
+        @Override
+        public Call call(Target subchannel, List<RpcRequest> rpcs, double timeout, Clearance clearance,
+                Results results) {
+            cleared = clearance.mayStart();
+            out.add(results);
+            return why -> {
+                abandoned.add(why);
+                for (int i = 0; i < rpcs.size(); i++) {
+                    results.ended(i, CallResult.of(why));
+                }
+            };
+        }
+
+        @Override
+        public void probe(Target subchannel, Probed probed) {
+            throw new UnsupportedOperationException();
+        }
+
+        @Override
+        public void closeIdle(Target subchannel) {
+            throw new UnsupportedOperationException();
+        }
+    };
+
+    @BeforeMethod
+    public void fresh() throws Exception {
+        out.clear();
+        abandoned.clear();
+        var folder = Files.createTempDirectory("calls");
+        String json = Files.readString(java.nio.file.Path.of("src/main/resources/selftest.json"))
+                .replace("\"listen\": \"\"", "\"listen\": \"127.0.0.1:1\"")
+                .replace("\"discovery\": \"\"", "\"discovery\": \"127.0.0.1:1\"");
+        Files.writeString(folder.resolve("c.json"), json);
+        relay = new Relay(Config.read(folder.resolve("c.json")).settings().settings(), 1, 0.005,
+                folder.resolve("state"), 3 << 20, new Counters(), stuck, (to, note) -> { });
+    }
+
+    private Rpc rpc(int number, int messageClass, long left) {
+        return new Rpc(number, new RpcRequest("m" + number, "http", messageClass, 7,
+                System.currentTimeMillis() + left, "", false, new byte[0]), 0, relay);
+    }
+
+    private static CompletableFuture<CallResult> join(SharedCall call, Rpc rpc) {
+        return CompletableFuture.supplyAsync(() -> {
+            try {
+                return call.await(rpc);
+            } catch (InterruptedException e) {
+                throw new IllegalStateException(e);
+            }
+        }, task -> new Thread(task).start());
+    }
+
+    @Test
+    public void onlyWhatProvesThatItNeverRanSaysSo() {
+        Set<CallEnd> never = EnumSet.noneOf(CallEnd.class);
+        for (CallEnd end : CallEnd.values()) {
+            if (end.outcome().neverRan()) {
+                never.add(end);
+            }
+        }
+        assertEquals(never, EnumSet.of(CallEnd.TURNED_AWAY, CallEnd.NO_SLOT, CallEnd.SPENT, CallEnd.OVER,
+                CallEnd.HELD_BACK, CallEnd.NOT_CONNECTED, CallEnd.UNROUTABLE));
+        for (CallEnd cut : List.of(CallEnd.BROKEN, CallEnd.TIMED_OUT, CallEnd.CALLED_OFF)) {
+            assertEquals(cut.given(false), CallEnd.NOT_CONNECTED);
+            assertEquals(cut.given(true), cut);
+        }
+        assertEquals(CallEnd.FAILED.given(false), CallEnd.FAILED, "an answer outranks what was written");
+    }
+
+    @Test
+    public void aShorterWaitNeverCutsALongerOne() throws Exception {
+        Guards guards = new Guards();
+        guards.learn(new TargetList(true, List.of(TARGET)));
+        assertTrue(guards.mayCall(5, 7));
+        guards.wait(7, 0.3);
+        guards.wait(7, 0.01);
+        Thread.sleep(50);
+        assertFalse(guards.mayCall(5, 7), "the wait was cut short");
+        Thread.sleep(300);
+        assertTrue(guards.mayCall(5, 7), "the wait is over");
+    }
+
+    @Test
+    public void nothingGoesToAnEndpointThatDrainsOrIsGoneOrIsOfAnotherDestination() {
+        Guards guards = new Guards();
+        guards.learn(new TargetList(true, List.of(TARGET)));
+        assertFalse(guards.mayCall(5, 8), "another destination");
+        assertFalse(guards.mayCall(6, 7), "never listed");
+        guards.learn(new TargetList(false, List.of(new Target(5, 7, 1, 0, 10, Phase.DRAINING))));
+        assertFalse(guards.mayCall(5, 7), "draining");
+        guards.learn(new TargetList(false, List.of(TARGET)));
+        assertTrue(guards.mayCall(5, 7));
+        guards.learn(new TargetList(true, List.of()));
+        assertFalse(guards.mayCall(5, 7), "left out of a whole list");
+        assertEquals(guards.target(5).phase(), Phase.GONE);
+        assertNull(guards.target(6));
+    }
+
+    @Test
+    public void aSharedCallStartsWhenAllHaveJoinedAndEachHasItsOwnResult() throws Exception {
+        SharedCall call = new SharedCall(TARGET, stuck, () -> true);
+        Rpc one = rpc(1, 0, 5_000);
+        Rpc two = rpc(2, 1, 5_000);
+        call.add(one, 4);
+        call.add(two, 4);
+        CompletableFuture<CallResult> first = join(call, one);
+        Thread.sleep(50);
+        assertEquals(out.size(), 0, "begun before the second had its attempt written down");
+        CompletableFuture<CallResult> second = join(call, two);
+        while (out.isEmpty()) {
+            Thread.sleep(1);
+        }
+        assertTrue(cleared);
+        out.get(0).ended(0, CallResult.of(CallEnd.DELIVERED));
+        out.get(0).ended(1, CallResult.of(CallEnd.FAILED));
+        assertEquals(first.get(1, TimeUnit.SECONDS).end(), CallEnd.DELIVERED);
+        assertEquals(second.get(1, TimeUnit.SECONDS).end(), CallEnd.FAILED);
+        assertEquals(abandoned, List.of());
+    }
+
+    @Test
+    public void anRpcStaysWithItsCallWhileTheCallIsOutForAnother() throws Exception {
+        SharedCall call = new SharedCall(TARGET, stuck, () -> true);
+        Rpc hasty = rpc(1, 0, 5_000);
+        Rpc patient = rpc(2, 1, 5_000);
+        call.add(hasty, 0.05);
+        call.add(patient, 0.4);
+        CompletableFuture<CallResult> first = join(call, hasty);
+        CompletableFuture<CallResult> second = join(call, patient);
+        Thread.sleep(200);
+        assertFalse(first.isDone(), "it could be sent a second time while this call is out");
+        assertEquals(second.get(2, TimeUnit.SECONDS).end(), CallEnd.TIMED_OUT);
+        assertEquals(first.get(2, TimeUnit.SECONDS).end(), CallEnd.TIMED_OUT);
+        assertEquals(abandoned.get(0), CallEnd.TIMED_OUT, "the connection is closed");
+    }
+
+    @Test
+    public void callingOffOneOfTwoLeavesTheCallOut() throws Exception {
+        SharedCall call = new SharedCall(TARGET, stuck, () -> true);
+        Rpc one = rpc(1, 0, 5_000);
+        Rpc two = rpc(2, 0, 5_000);
+        call.add(one, 4);
+        call.add(two, 4);
+        CompletableFuture<CallResult> first = join(call, one);
+        join(call, two);
+        while (out.isEmpty()) {
+            Thread.sleep(1);
+        }
+        Thread.sleep(20);
+        call.callOff();
+        assertEquals(abandoned, List.of());
+        call.callOff();
+        assertEquals(first.get(1, TimeUnit.SECONDS).end(), CallEnd.CALLED_OFF);
+    }
+
+    @Test
+    public void noUnsafeCallStartsOnceTheEndIsNear() {
+        assertTrue(rpc(1, 1, 5_000).mayStart());
+        assertFalse(rpc(1, 1, -1).mayStart(), "its time is up");
+        relay.noUnsafeAfter(System.currentTimeMillis() - 1);
+        assertFalse(rpc(1, 1, 5_000).mayStart(), "an order could be cut off by the end of the process");
+        assertTrue(rpc(2, 0, 5_000).mayStart(), "a notice may be repeated");
+    }
+}
--- /dev/null
+++ b/src/test/java/juniperusher/net/RestartTest.java
@@ -0,0 +1,121 @@
+package juniperusher.net;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import com.eclipsesource.json.Json;
+import com.eclipsesource.json.JsonArray;
+import com.eclipsesource.json.JsonObject;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.concurrent.TimeUnit;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** The program through SIGTERM and SIGKILL, with what it owes before and after. */
+public class RestartTest {
+    private static final String WATCH = "platform< GET /discovery/hosts?stream=1&index=1 HTTP/1.1\\r\\n"
+            + "Host: discovery\\r\\n\\r\\n\n";
+
+    private Path folder;
+    private Player player;
+    private Process program;
+    private int listen;
+
+    @BeforeMethod
+    public void configure() throws Exception {
+        folder = Files.createTempDirectory("restart");
+        player = new Player();
+        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+            listen = free.getLocalPort();
+        }
+        player.client("client", listen);
+        JsonObject json =
+                Json.parse(Files.readString(Path.of("src/main/resources/selftest.json"))).asObject();
+        json.set("listen", "127.0.0.1:" + listen).set("discovery", "127.0.0.1:" + player.server("platform"));
+        json.get("known").asObject().set("servers", new JsonArray().add(new JsonObject().add("id", "s-1")
+                .add("addr", "127.0.0.1:" + player.server("endpoint")).add("zone", "lisboa-1").add("cell", 7)
+                .add("kind", "pequeno-projeto").add("state", "up").add("weight", 5)));
+        Files.writeString(folder.resolve("relay.json"), json.toString());
+    }
+
+    @AfterMethod(alwaysRun = true)
+    public void end() throws Exception {
+        program.destroyForcibly().waitFor();
+        player.close();
+    }
+
+    private void start() throws Exception {
+        ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java")
+                .toString(), "-cp", System.getProperty("surefire.test.class.path",
+                System.getProperty("java.class.path")), "juniperusher.cli.Main", "serve");
+        builder.environment().put("RELAY_CONFIG", folder.resolve("relay.json").toString());
+        builder.environment().put("RELAY_STATE", folder.resolve("state").toString());
+        program = builder.redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.DISCARD).start();
+        for (int i = 0;; i++) {
+            try (Socket probe = new Socket("127.0.0.1", listen)) {
+                return;
+            } catch (IOException e) {
+                assertTrue(i < 200 && program.isAlive(), "the program does not listen");
+                Thread.sleep(50);
+            }
+        }
+    }
+
+    private void play(String lines) throws Exception {
+        player.play(Files.writeString(folder.resolve("exchange.txt"), lines));
+    }
+
+    private static String handIn(String party, String id, String kind) {
+        return party + "> POST /" + kind + " HTTP/1.1\\r\\nHost: a\\r\\nX-Call-Id: " + id
+                + "\\r\\nX-Call-Class: " + kind
+                + "\\r\\nX-Budget: 15000m\\r\\nContent-Length: 2\\r\\nX-Envelope: dest=7\\r\\n\\r\\nab\n"
+                + party
+                + "< HTTP/1.1 202 Accepted\\r\\nContent-Length: 0\\r\\n\\r\\n\n";
+    }
+
+    private static String received(String party, String id) {
+        return party + "< POST /receive HTTP/1.1\\r\\nHost: endpoint\\r\\nX-Call-Id: " + id
+                + "\\r\\nX-Budget: {*}m\\r\\nContent-Length: 2\\r\\n\\r\\nab\n";
+    }
+
+    @Test
+    public void afterAKillAnOrderThatMayHaveRunIsGivenUpAndANoticeGoesAgain() throws Exception {
+        start();
+        play(WATCH + handIn("client1", "order", "ordem-build") + received("endpoint1", "order")
+                + handIn("client2", "notice", "aviso-push") + received("endpoint2", "notice"));
+        program.destroyForcibly().waitFor();
+        start();
+        // Only the notice comes to the endpoint: the order's call was out when the process ended.
+        play(received("endpoint3", "notice")
+                + "endpoint3> HTTP/1.1 200 OK\\r\\nContent-Length: 0\\r\\n\\r\\n\n");
+        play("platform2< POST /status HTTP/1.1\\r\\nHost: platform\\r\\nContent-Length: 41\\r\\n\\r\\n"
+                + "{\"message\":\"order\",\"outcome\":\"given_up\"}\\n\n"
+                + "platform2> HTTP/1.1 204 No Content\\r\\n\\r\\n\n");
+    }
+
+    @Test
+    public void onSigtermItServesWhatStillArrivesAndIsOutBeforeTheKill() throws Exception {
+        start();
+        play(WATCH + handIn("client1", "m1", "aviso-push") + received("endpoint1", "m1")
+                + "endpoint1> HTTP/1.1 200 OK\\r\\nContent-Length: 0\\r\\n\\r\\n\n");
+        long from = System.currentTimeMillis();
+        program.destroy();
+        play("~ 300\n" + handIn("client1", "m2", "aviso-push") + received("endpoint1", "m2")
+                + "endpoint1> HTTP/1.1 200 OK\\r\\nContent-Length: 0\\r\\n\\r\\n\n~ 1200\n"
+                + handIn("client2", "order", "ordem-build"));
+        assertTrue(program.waitFor(5, TimeUnit.SECONDS), "it does not end");
+        long took = System.currentTimeMillis() - from;
+        assertTrue(took < 3_700, "it ended after " + took + " ms");
+        assertEquals(program.exitValue(), 143);
+        start();
+        // The order was taken on too late to be sent; the next process owes it and sends it.
+        play(received("endpoint2", "order")
+                + "endpoint2> HTTP/1.1 200 OK\\r\\nContent-Length: 0\\r\\n\\r\\n\n");
+    }
+}
