--- a/src/main/java/juniperusher/amqp/AmqpConnection.java
+++ b/src/main/java/juniperusher/amqp/AmqpConnection.java
@@ -100,8 +100,7 @@
 
     /**
      * Writes what is queued, one after the other. Guards against a write that ends at once and starts the
-     * next from
-     * within: a long queue would use up the small stack of the thread that happened to write.
+     * next from within: a long queue would use up the small stack of the thread that happened to write.
      */
     private final class Writer extends IteratingCallback {
         @Override
--- a/src/main/java/juniperusher/amqp/AmqpFront.java
+++ b/src/main/java/juniperusher/amqp/AmqpFront.java
@@ -20,10 +20,8 @@
 
 /**
  * The AMQP 0-9-1 front. A client publishes an order to the default exchange with its destination as the
- * routing
- * key; its confirm says that the order is taken on, or is not. The end goes to the queue that the order's
- * reply-to
- * names, under the order's correlation id.
+ * routing key; its confirm says that the order is taken on, or is not. The end goes to the queue that the
+ * order's reply-to names, under the order's correlation id.
  */
 public final class AmqpFront implements Front {
     private static final long LONGEST = 86_400_000; // ms, an expiration beyond a day is a mistake
@@ -70,7 +68,7 @@
         JsonObject address = Json.parse(end.returnAddress()).asObject();
         String queue = address.getString("queue", "");
         queue(queue).add(new ReplyQueue.Delivery(queue, reply(end, address.getString("correlation", "")),
-                again, acknowledged));
+                again, System.currentTimeMillis(), acknowledged));
     }
 
     private static Content reply(RpcEnd end, String correlation) {
--- a/src/main/java/juniperusher/amqp/AmqpServerConnection.java
+++ b/src/main/java/juniperusher/amqp/AmqpServerConnection.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
 import juniperusher.core.Channel;
 import juniperusher.core.UnavailableStatus;
 import juniperusher.net.Network;
@@ -13,14 +14,21 @@
 final class AmqpServerConnection extends AmqpConnection {
     static final int MOST_BODY = 64 * 1024;
     private static final int CHANNEL_MAX = 255;
+    private static final long HANDSHAKE = 10_000; // ms
 
     private final AmqpFront front;
     private final Map<Integer, ServerChannel> channels = new ConcurrentHashMap<>();
-    private int expected = -1; // the method that the handshake waits for; -1 the protocol header, 0 none
+    // The method that the handshake waits for: -1 the protocol header, 0 none.
+    private volatile int expected = -1;
 
     AmqpServerConnection(EndPoint endPoint, Network network, AmqpFront front) {
         super(endPoint, network);
         this.front = front;
+        network.scheduler().schedule(() -> {
+            if (expected != 0) {
+                end(); // Guards descriptors against a client that never ends its handshake.
+            }
+        }, HANDSHAKE, TimeUnit.MILLISECONDS);
     }
 
     /** One channel. Its fields are used by the connection's reader, but for what consumers touch. */
--- a/src/main/java/juniperusher/amqp/BrokerConnection.java
+++ b/src/main/java/juniperusher/amqp/BrokerConnection.java
@@ -11,8 +11,7 @@
 
 /**
  * A connection to a broker that orders are published to with confirms. Each order out has a channel of its
- * own, so
- * that giving one up closes its channel and disturbs no other.
+ * own, so that giving one up closes its channel and disturbs no other.
  */
 final class BrokerConnection extends AmqpConnection {
     private static final double HANDSHAKE = 2.0; // s, a broker that takes longer is as good as down
--- a/src/main/java/juniperusher/cli/RemoteWrite.java
+++ b/src/main/java/juniperusher/cli/RemoteWrite.java
@@ -22,8 +22,8 @@
 
 /**
  * Sends the counters by Prometheus remote write 1.0: a protobuf WriteRequest, compressed with Snappy. A 5xx
- * or 429
- * is tried again with a doubling pause, another 4xx never; samples of a series go in the order of their time.
+ * or 429 is tried again with a doubling pause, another 4xx never; samples of a series go in the order of
+ * their time.
  */
 final class RemoteWrite {
     private static final Logger LOG = LoggerFactory.getLogger(RemoteWrite.class);
@@ -106,8 +106,7 @@
     }
 
     // ---- the WriteRequest message: timeseries = 1 { labels = 1 { name = 1, value = 2 }, samples = 2 {
-    // value = 1,
-    // timestamp = 2 } } ----
+    // value = 1, timestamp = 2 } } ----
 
     static byte[] request(String exposition, String instance, long now) {
         ByteArrayOutputStream out = new ByteArrayOutputStream();
--- a/src/main/java/juniperusher/cli/SelfTest.java
+++ b/src/main/java/juniperusher/cli/SelfTest.java
@@ -25,8 +25,7 @@
 
 /**
  * Starts a relay on loopback for a moment and hands it one RPC. It shows that the program works on a
- * machine, and the
- * build records with it which classes a start needs.
+ * machine, and the build records with it which classes a start needs.
  */
 final class SelfTest {
     private SelfTest() {
--- a/src/main/java/juniperusher/core/DecisionLoop.java
+++ b/src/main/java/juniperusher/core/DecisionLoop.java
@@ -15,9 +15,9 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * The one thread that owns the module. A round drains the queue, asks the module and has its actions carried
- * out
- * in their order. Rounds keep the settings' shortest gap, so that what comes together is decided together.
+ * The one thread that owns the module. A round drains the queue, asks the module and has its actions
+ * carried out in their order. Rounds keep the settings' shortest gap, so that what comes together is
+ * decided together.
  */
 final class DecisionLoop implements Runnable {
     private static final Logger LOG = LoggerFactory.getLogger(DecisionLoop.class);
--- a/src/main/java/juniperusher/core/Guards.java
+++ b/src/main/java/juniperusher/core/Guards.java
@@ -8,8 +8,8 @@
 
 /**
  * What forbids a call at the very moment of its first byte. The module decides in rounds; a wait or a drain
- * that
- * is told between a round and the first byte (while a connection comes up, say) is seen here by every thread.
+ * that is told between a round and the first byte (while a connection comes up, say) is seen here by every
+ * thread.
  */
 final class Guards {
     private final Map<Integer, Long> waits = new ConcurrentHashMap<>();
--- a/src/main/java/juniperusher/core/Journal.java
+++ b/src/main/java/juniperusher/core/Journal.java
@@ -20,12 +20,9 @@
 
 /**
  * What the relay owes, in the folder that outlasts its process. Append-only segments hold records of a
- * length, a
- * checksum and the fields; a torn or damaged tail ends a segment. When the room runs out, what is still owed
- * is
- * copied into a new segment and the old ones go; both copies fit into the room at any time. Nothing is
- * synced: what
- * is written survives the process, and only the loss of the machine loses it.
+ * length, a checksum and the fields; a torn or damaged tail ends a segment. When the room runs out, what is
+ * still owed is copied into a new segment and the old ones go; both copies fit into the room at any time.
+ * Nothing is synced: what is written survives the process, and only the loss of the machine loses it.
  */
 public final class Journal {
     private static final Logger LOG = LoggerFactory.getLogger(Journal.class);
--- a/src/main/java/juniperusher/core/Rpc.java
+++ b/src/main/java/juniperusher/core/Rpc.java
@@ -9,8 +9,7 @@
 
 /**
  * The life of one RPC, from top to bottom, on a thread of its own. The module is asked at each point of
- * choice:
- * it is told of the arrival and of each attempt's end, and its next choice comes into the mailbox.
+ * choice: it is told of the arrival and of each attempt's end, and its next choice comes into the mailbox.
  */
 final class Rpc implements Runnable {
     private static final Logger LOG = LoggerFactory.getLogger(Rpc.class);
--- a/src/main/java/juniperusher/core/SharedCall.java
+++ b/src/main/java/juniperusher/core/SharedCall.java
@@ -9,9 +9,8 @@
 import juniperusher.Protocol.Target;
 
 /**
- * One call and the RPCs that share it: one connection, one fate. It starts when the last of them has joined,
- * so
- * that each has its attempt in the journal before the first byte.
+ * One call and the RPCs that share it: one connection, one fate. It starts when the last of them has
+ * joined, so that each has its attempt in the journal before the first byte.
  */
 final class SharedCall {
     // s before its deadline an RPC ceases to wait for the others
@@ -63,9 +62,9 @@
     }
 
     /**
-     * Joins and waits for this RPC's result. Guards against a second copy: an RPC whose own time-out is over
-     * stays
-     * while the call is out for the others, up to its deadline, since nobody sends it again after that.
+     * Joins and waits for this RPC's result. Guards against a second copy: an RPC whose own time-out is
+     * over stays while the call is out for the others, up to its deadline, since nobody sends it again
+     * after that.
      */
     CallResult await(Rpc rpc) throws InterruptedException {
         Member self = members.stream().filter(member -> member.rpc == rpc).findFirst().orElseThrow();
--- a/src/main/java/juniperusher/http/Resolver.java
+++ b/src/main/java/juniperusher/http/Resolver.java
@@ -24,9 +24,8 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * Discovery's list as the module's targets. Starts from the list known last, holds a watch and resumes it by
- * its
- * index. While discovery is silent or broken, the old resolver result stands.
+ * Discovery's list as the module's targets. Starts from the list known last, holds a watch and resumes it
+ * by its index. While discovery is silent or broken, the old resolver result stands.
  */
 final class Resolver {
     private static final Logger LOG = LoggerFactory.getLogger(Resolver.class);
--- a/src/main/java/juniperusher/net/HttpPool.java
+++ b/src/main/java/juniperusher/net/HttpPool.java
@@ -13,10 +13,9 @@
 import org.eclipse.jetty.io.EndPoint;
 
 /**
- * HTTP/1.1 exchanges on connections that are kept and used again, the last used first. A connection is closed
- * before the other side's idle time is over, since a request written from then on would end as a reset.
- * Nothing is
- * ever sent again here.
+ * HTTP/1.1 exchanges on connections that are kept and used again, the last used first. A connection is
+ * closed before the other side's idle time is over, since a request written from then on would end as a
+ * reset. Nothing is ever sent again here.
  */
 public final class HttpPool {
     private final Network network;
--- a/src/test/java/juniperusher/amqp/BrokerStandIn.java
+++ b/src/test/java/juniperusher/amqp/BrokerStandIn.java
@@ -17,8 +17,7 @@
 
 /**
  * A broker made from the public specification of AMQP 0-9-1 and its confirms. It counts how often each
- * message id
- * takes effect, and spoils confirms in the shares that a test names, from a fixed seed.
+ * message id takes effect, and spoils confirms in the shares that a test names, from a fixed seed.
  */
 final class BrokerStandIn implements AutoCloseable {
     final Map<String, AtomicInteger> applied = new ConcurrentHashMap<>();
@@ -72,9 +71,8 @@
             return Fate.ACK;
         }
         Fate fate = Fate.values()[1 + random.nextInt(Fate.values().length - 1)];
-        // A cut takes the confirms of all that is out on the connection with it, and silence holds a slot to
-        // the
-        // time-out, so both are met more seldom than a confirm lost with its channel.
+        // A cut takes the confirms of all that is out on the connection with it, and silence holds a slot
+        // to the time-out, so both are met more seldom than a confirm lost with its channel.
         if ((fate == Fate.CONNECTION_CUT || fate == Fate.CUT_BEFORE || fate == Fate.SILENT)
                 && random.nextDouble() < 0.9) {
             fate = Fate.CHANNEL_CLOSED;
--- /dev/null
+++ b/src/test/java/juniperusher/amqp/ReplyQueueTest.java
@@ -0,0 +1,28 @@
+package juniperusher.amqp;
+
+import static org.testng.Assert.assertEquals;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.testng.annotations.Test;
+
+/** Ends that wait for a client that may never come. */
+public class ReplyQueueTest {
+    private static final Content END = new Content("", "", "", "", "", "", new byte[0]);
+
+    @Test
+    public void anEndThatNobodyFetchesIsDroppedInTheEnd() throws Exception {
+        List<String> dropped = new ArrayList<>();
+        ReplyQueue queue = new ReplyQueue();
+        queue.keep(30);
+        long now = System.currentTimeMillis();
+        queue.add(new ReplyQueue.Delivery("q", END, false, now, () -> dropped.add("one")));
+        assertEquals(dropped, List.of());
+        assertEquals(queue.waiting(), 1);
+        Thread.sleep(60);
+        queue.add(new ReplyQueue.Delivery("q", END, false, System.currentTimeMillis(), () ->
+                dropped.add("two")));
+        assertEquals(dropped, List.of("one"), "the older one, once");
+        assertEquals(queue.waiting(), 1);
+    }
+}
--- a/src/test/java/juniperusher/amqp/TenThousandOrdersTest.java
+++ b/src/test/java/juniperusher/amqp/TenThousandOrdersTest.java
@@ -23,8 +23,8 @@
 
 /**
  * The program as it is started, between a client and a broker that drops confirms at random: 10,000 orders,
- * with
- * blocked connections and a SIGKILL midway. None may take effect twice, each has exactly one final answer.
+ * with blocked connections and a SIGKILL midway. None may take effect twice, each has exactly one final
+ * answer.
  */
 public class TenThousandOrdersTest {
     private static final int ORDERS = 10_000;
--- a/src/test/java/juniperusher/net/Player.java
+++ b/src/test/java/juniperusher/net/Player.java
@@ -18,13 +18,11 @@
 import java.util.regex.Pattern;
 
 /**
- * Plays a recorded exchange against the program and compares. A line is a party, a sign and bytes: {@code >}
- * the
- * party sends them to the program, {@code <} the program must send exactly them, {@code !} the program must
- * close
- * the party's connection, {@code x} the party closes it, {@code ~} a pause in ms. Bytes are text with \r, \n
- * and
- * \xHH, or hexadecimal after {@code hex:}; {*} stands for anything but a line's end.
+ * Plays a recorded exchange against the program and compares. A line is a party, a sign and bytes: {@code
+ * >} the party sends them to the program, {@code <} the program must send exactly them, {@code !} the
+ * program must close the party's connection, {@code x} the party closes it, {@code ~} a pause in ms. Bytes
+ * are text with \r, \n and \xHH, or hexadecimal after {@code hex:}; {*} stands for anything but a line's
+ * end.
  */
 public final class Player implements AutoCloseable {
     private final Map<String, ServerSocket> servers = new HashMap<>();
