--- /dev/null
+++ b/src/test/java/juniperusher/cli/AlertsTest.java
@@ -0,0 +1,46 @@
+package juniperusher.cli;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import java.util.stream.Stream;
+import org.testng.annotations.Test;
+
+/** Alert rules and the README name only metrics that the program has. */
+public class AlertsTest {
+    private static Set<String> found(Pattern pattern, String text) {
+        Set<String> out = new TreeSet<>();
+        Matcher matcher = pattern.matcher(text);
+        while (matcher.find()) {
+            out.add(matcher.group(1));
+        }
+        return out;
+    }
+
+    @Test
+    public void everyMetricThatIsNamedIsCounted() throws IOException {
+        StringBuilder sources = new StringBuilder();
+        try (Stream<Path> files = Files.walk(Path.of("src/main/java"))) {
+            for (Path file : files.filter(path -> path.toString().endsWith(".java")).toList()) {
+                sources.append(Files.readString(file));
+            }
+        }
+        Set<String> counted = found(Pattern.compile("counters\\.(?:add|gauge)\\(\"(\\w+)\""),
+                sources.toString());
+        assertTrue(counted.size() >= 8, "metrics: " + counted);
+        Pattern named = Pattern.compile("juniperusher_(\\w+)");
+        for (String file : new String[] {"deploy/alerts.yml", "README.md"}) {
+            Set<String> missing = found(named, Files.readString(Path.of(file)));
+            assertTrue(missing.size() >= 3, file + " names " + missing);
+            missing.removeAll(counted);
+            assertEquals(missing, Set.of(), file);
+        }
+    }
+}
