SIGHUP reads the configuration anew; watch and notices move to the new address

Cause: nothing handled SIGHUP, so the JVM's default ended the process (cli/Main.java). Now: a handler wakes the main thread, which reads and checks the file whole and swaps the addresses in one step (Platform.reload). The resolver leaves the old agent at once, fetches the whole list at the new one and watches from there on, since an index counts only where it was told. A broken file costs one line. A silent watch is given up after two missed lines (4.5 s) in place of 7 s, since all counts as told after 6 s.

--- a/src/main/java/juniperusher/cli/Main.java
+++ b/src/main/java/juniperusher/cli/Main.java
@@ -11,6 +11,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
+import java.util.concurrent.Semaphore;
 import juniperusher.amqp.AmqpConfig;
 import juniperusher.amqp.AmqpExtension;
 import juniperusher.core.Counters;
@@ -21,6 +22,7 @@
 import juniperusher.net.Network;
 import juniperusher.sim.SimHost;
 import juniperusher.sim.WireException;
+import sun.misc.Signal;
 
 /** The command line. */
 public final class Main {
@@ -100,7 +102,11 @@
 
         @Override
         public int run() throws Exception {
-            Config config = Config.read(Path.of(variable("RELAY_CONFIG")));
+            // Guards against ending on SIGHUP, as a JVM does by itself; one that comes early waits here.
+            Semaphore hangups = new Semaphore(0);
+            Signal.handle(new Signal("HUP"), signal -> hangups.release());
+            Path file = Path.of(variable("RELAY_CONFIG"));
+            Config config = Config.read(file);
             Counters counters = new Counters();
             Network network = new Network(config.settings().settings().allowed().connectTimeout());
             Extension extension = amqp == null ? null : new AmqpExtension(AmqpConfig.read(Path.of(amqp)),
@@ -121,8 +127,11 @@
                     System.err.println("juniperusher: at the end: " + e);
                 }
             }, "drain"));
-            Thread.currentThread().join();
-            return 0;
+            while (true) {
+                hangups.acquire();
+                hangups.drainPermits();
+                platform.reload(file);
+            }
         }
     }
 
--- a/src/main/java/juniperusher/http/Config.java
+++ b/src/main/java/juniperusher/http/Config.java
@@ -71,6 +71,15 @@
                 settings.getDouble("quantumS", 0.005));
     }
 
+    /**
+     * This configuration with the addresses of a newer file: what may change while a relay runs. The rest of
+     * a file takes effect at the next start.
+     */
+    Config movedTo(Config newer) {
+        return new Config(name, listen, newer.discovery, seed, diskBytes, peerListen, newer.peers,
+                newer.peersAll, known, settings, classes, kinds, zones, gap);
+    }
+
     private static List<String> names(JsonValue value) {
         List<String> out = new ArrayList<>();
         if (value != null && value.isArray()) {
--- a/src/main/java/juniperusher/http/Notices.java
+++ b/src/main/java/juniperusher/http/Notices.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 import juniperusher.core.CallEnd;
 import juniperusher.core.RpcEnd;
 import juniperusher.net.HttpMessage;
@@ -23,13 +24,14 @@
     private static final long AGAIN = 100; // ms
     private static final long PATIENCE = 1_000; // ms for an answer that comes at once
 
-    private final InetSocketAddress platform;
+    private final Supplier<InetSocketAddress> platform;
     private final HttpPool pool;
     private final Network network;
     private final Map<RpcEnd, Runnable> waiting = new LinkedHashMap<>();
     private boolean out;
 
-    Notices(InetSocketAddress platform, HttpPool pool, Network network) {
+    /** Notices to the platform at the address that is in force when a notice leaves. */
+    Notices(Supplier<InetSocketAddress> platform, HttpPool pool, Network network) {
         this.platform = platform;
         this.pool = pool;
         this.network = network;
@@ -52,7 +54,7 @@
         List<RpcEnd> sent = new ArrayList<>(waiting.keySet()).subList(0, Math.min(MOST, waiting.size()));
         StringBuilder lines = new StringBuilder();
         sent.forEach(end -> lines.append(line(end)).append('\n'));
-        HttpPool.Exchange exchange = pool.exchange(platform, HttpMessage.request("POST", "/status",
+        HttpPool.Exchange exchange = pool.exchange(platform.get(), HttpMessage.request("POST", "/status",
                 lines.toString().getBytes(StandardCharsets.UTF_8), "Host", "platform"), () -> true,
                 new HttpPool.Listener() {
                     @Override
--- a/src/main/java/juniperusher/http/Peers.java
+++ b/src/main/java/juniperusher/http/Peers.java
@@ -5,6 +5,7 @@
 import java.nio.ByteBuffer;
 import java.nio.channels.DatagramChannel;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import juniperusher.Protocol.Noted;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -14,17 +15,19 @@
     private static final Logger LOG = LoggerFactory.getLogger(Peers.class);
     private static final int MOST = 256;
 
-    private final Config config;
+    private final Supplier<Config> config;
     private final DatagramChannel channel;
 
-    Peers(Config config) throws IOException {
+    Peers(Supplier<Config> config) throws IOException {
         this.config = config;
-        channel = config.peerListen() == null ? null : DatagramChannel.open().bind(config.peerListen());
+        InetSocketAddress listen = config.get().peerListen();
+        channel = listen == null ? null : DatagramChannel.open().bind(listen);
     }
 
     void send(int to, byte[] note) {
-        InetSocketAddress address = to < 0 ? config.peersAll()
-                : to < config.peers().size() ? config.peers().get(to) : null;
+        Config current = config.get();
+        InetSocketAddress address = to < 0 ? current.peersAll()
+                : to < current.peers().size() ? current.peers().get(to) : null;
         if (channel == null || address == null || note.length > MOST) {
             return;
         }
@@ -50,7 +53,7 @@
         try {
             while (channel.isOpen()) {
                 bytes.clear();
-                int from = config.peers().indexOf(channel.receive(bytes));
+                int from = config.get().peers().indexOf(channel.receive(bytes));
                 if (from >= 0) {
                     byte[] note = new byte[bytes.flip().remaining()];
                     bytes.get(note);
--- a/src/main/java/juniperusher/http/Platform.java
+++ b/src/main/java/juniperusher/http/Platform.java
@@ -1,9 +1,11 @@
 package juniperusher.http;
 
 import java.io.Closeable;
+import java.io.IOException;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicReference;
 import juniperusher.Protocol.Target;
 import juniperusher.Protocol.TargetList;
 import juniperusher.core.Counters;
@@ -23,6 +25,7 @@
     private static final long LAST_UNSAFE = 1_200; // ms after SIGTERM: time for an answer before the end
     private static final long SERVE = 3_200; // ms after SIGTERM; SIGKILL comes after 3.7 s
 
+    private final AtomicReference<Config> config;
     private final Network network;
     private final Extension extension;
     private final Relay relay;
@@ -33,24 +36,25 @@
     private final Counters counters;
 
     /** Starts a relay that keeps its journal in {@code state}; {@code extension} may be null. */
-    public Platform(Config config, Path state, Counters counters, Network network, Extension extension)
+    public Platform(Config first, Path state, Counters counters, Network network, Extension extension)
             throws Exception {
         this.counters = counters;
+        config = new AtomicReference<>(first);
         this.network = network;
         this.extension = extension;
-        var allowed = config.settings().settings().allowed();
+        var allowed = first.settings().settings().allowed();
         HttpPool pool = new HttpPool(network, allowed.keepAlive() * IDLE_SHARE);
-        peers = new Peers(config);
+        peers = new Peers(config::get);
         Relay[] made = new Relay[1];
-        resolver = new Resolver(config, pool, network, list -> made[0].resolved(extended(list)));
-        Subchannels usual = new HttpSubchannels(config, pool, network, resolver);
+        resolver = new Resolver(config::get, pool, network, list -> made[0].resolved(extended(list)));
+        Subchannels usual = new HttpSubchannels(first, pool, network, resolver);
         Subchannels subchannels = extension == null ? usual : new RoutedSubchannels(usual, extension);
-        relay = new Relay(config.settings().settings(), config.seed(), config.gap(), state,
-                config.diskBytes(), counters, subchannels, peers::send);
+        relay = new Relay(first.settings().settings(), first.seed(), first.gap(), state,
+                first.diskBytes(), counters, subchannels, peers::send);
         made[0] = relay;
-        Notices notices = new Notices(config.discovery(), pool, network);
+        Notices notices = new Notices(() -> config.get().discovery(), pool, network);
         counters.gauge("notices_waiting", notices::waiting);
-        front = new PlatformFront(config, notices, counters, relay);
+        front = new PlatformFront(first, notices, counters, relay);
         relay.add(front);
         if (extension != null) {
             extension.join(relay);
@@ -62,7 +66,7 @@
         if (extension != null) {
             extension.open();
         }
-        LOG.info("serving on {}", config.listen());
+        LOG.info("serving on {}", first.listen());
     }
 
     /** A whole list names the extension's endpoints as well: what it leaves out is gone. */
@@ -75,6 +79,25 @@
         return new TargetList(true, all);
     }
 
+    /**
+     * What SIGHUP asks for: puts the newer file's addresses in force in one step and keeps all that is held.
+     * A file that cannot be read changes nothing and costs one line in the log.
+     */
+    public void reload(Path file) {
+        Config newer;
+        try {
+            newer = Config.read(file);
+        } catch (IOException | IllegalArgumentException e) {
+            LOG.error("the configuration in force stays: {}", e.getMessage());
+            counters.add("reloads_total", "result", "refused");
+            return;
+        }
+        config.set(config.get().movedTo(newer));
+        resolver.moved();
+        counters.add("reloads_total", "result", "done");
+        LOG.info("configuration read anew; discovery is at {}", newer.discovery());
+    }
+
     /** What SIGTERM asks for: serves what still arrives, starts nothing that could not finish, then ends. */
     public void drain() throws InterruptedException {
         long from = System.currentTimeMillis();
--- a/src/main/java/juniperusher/http/Resolver.java
+++ b/src/main/java/juniperusher/http/Resolver.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import juniperusher.Protocol.Phase;
 import juniperusher.Protocol.Target;
 import juniperusher.Protocol.TargetList;
@@ -25,25 +26,28 @@
 
 /**
  * Discovery's list as the module's targets. Starts from the list known last, holds a watch and resumes it
- * by its index. While discovery is silent or broken, the old resolver result stands.
+ * by its index. At another address the whole list is fetched first: an index counts only where it was told.
+ * While discovery is silent or broken, the old resolver result stands.
  */
 final class Resolver {
     private static final Logger LOG = LoggerFactory.getLogger(Resolver.class);
-    private static final long SILENT = 7_000; // ms without even an empty line: the watch is dead
+    private static final long SILENT = 4_500; // ms without even an empty line, due every 2 s: a dead watch
+    private static final long SILENT_WHOLE = 1_000; // ms for the whole list, which an agent tells at once
     private static final long AGAIN = 250; // ms before the watch is opened anew
 
-    private final Config config;
+    private final Supplier<Config> config;
     private final HttpPool pool;
     private final Network network;
     private final Consumer<TargetList> told;
     private final Map<String, Integer> numbers = new ConcurrentHashMap<>();
     private final Map<Integer, InetSocketAddress> addresses = new ConcurrentHashMap<>();
     private long version;
+    private boolean numbered = true; // the version was told by the agent that is asked
     private volatile long heardAt;
     private volatile Watch watch;
     private volatile boolean stopped;
 
-    Resolver(Config config, HttpPool pool, Network network, Consumer<TargetList> told) {
+    Resolver(Supplier<Config> config, HttpPool pool, Network network, Consumer<TargetList> told) {
         this.config = config;
         this.pool = pool;
         this.network = network;
@@ -52,7 +56,7 @@
 
     /** The list known last. */
     TargetList known() {
-        return result(config.known());
+        return result(config.get().known());
     }
 
     /** The address of an endpoint. */
@@ -69,23 +73,30 @@
         stopped = true;
     }
 
-    private void open() {
+    /** The agent has another address: leaves the old one at once, whether or not it still talks. */
+    synchronized void moved() {
+        Watch old = watch;
+        numbered = false;
+        open();
+        old.exchange.abandon(CallEnd.CALLED_OFF);
+    }
+
+    private synchronized void open() {
         if (stopped) {
             return;
         }
         heardAt = System.currentTimeMillis();
-        Watch next = new Watch();
+        Watch next = new Watch(!numbered);
         watch = next;
-        next.exchange = pool.exchange(config.discovery(), HttpMessage.request("GET",
-                "/discovery/hosts?stream=1&index=" + version, new byte[0], "Host", "discovery"), () -> true,
-                        next);
+        next.exchange = pool.exchange(config.get().discovery(), HttpMessage.request("GET", "/discovery/hosts"
+                + (next.whole ? "" : "?stream=1&index=" + version), new byte[0], "Host", "discovery"),
+                () -> true, next);
     }
 
-    private void check() {
-        Watch current = watch;
-        if (current != null && System.currentTimeMillis() - heardAt > SILENT) {
+    private synchronized void check() {
+        if (System.currentTimeMillis() - heardAt > (watch.whole ? SILENT_WHOLE : SILENT)) {
             LOG.warn("resolver: the watch is silent; opening it anew");
-            current.exchange.abandon(CallEnd.TIMED_OUT);
+            watch.exchange.abandon(CallEnd.TIMED_OUT);
         }
         if (!stopped) {
             network.scheduler().schedule(this::check, 500, TimeUnit.MILLISECONDS);
@@ -94,10 +105,18 @@
 
     private final class Watch implements HttpPool.Listener {
         private final ByteArrayOutputStream line = new ByteArrayOutputStream();
-        private volatile HttpPool.Exchange exchange;
+        private final boolean whole;
+        private HttpPool.Exchange exchange;
+
+        Watch(boolean whole) {
+            this.whole = whole;
+        }
 
         @Override
         public boolean streamed(int status, byte[] piece) {
+            if (whole) {
+                return false;
+            }
             heardAt = System.currentTimeMillis();
             if (status != 200 || this != watch) {
                 return true;
@@ -106,7 +125,7 @@
                 if (b != '\n') {
                     line.write(b);
                 } else if (line.size() > 0) {
-                    take(line.toString(StandardCharsets.UTF_8).strip());
+                    take(this, line.toString(StandardCharsets.UTF_8).strip());
                     line.reset();
                 }
             }
@@ -115,7 +134,11 @@
 
         @Override
         public void answered(HttpMessage response) {
-            again();
+            if (whole && response.status() == 200 && take(this, response.text())) {
+                open(); // the watch proper, from here on
+            } else {
+                again();
+            }
         }
 
         @Override
@@ -130,14 +153,18 @@
         }
     }
 
-    private void take(String text) {
-        if (text.isEmpty()) {
-            return;
+    /** Passes on what the watch in force was told; whether it could be read. */
+    private synchronized boolean take(Watch from, String text) {
+        if (text.isEmpty() || from != watch) {
+            return false;
         }
         try {
             told.accept(result(Json.parse(text).asObject()));
+            numbered = true;
+            return true;
         } catch (ParseException | UnsupportedOperationException | NullPointerException e) {
             LOG.warn("resolver: a line that cannot be read: {}", e.toString());
+            return false;
         }
     }
 
@@ -155,8 +182,8 @@
                 default -> Phase.GONE;
             };
             targets.add(new Target(number, entry.getInt("cell", -1),
-                    Math.max(0, config.kinds().indexOf(entry.getString("kind", ""))),
-                    Math.max(0, config.zones().indexOf(entry.getString("zone", ""))),
+                    Math.max(0, config.get().kinds().indexOf(entry.getString("kind", ""))),
+                    Math.max(0, config.get().zones().indexOf(entry.getString("zone", ""))),
                     entry.getDouble("weight", 1), phase));
         }
         version = json.getLong("version", version);
--- a/src/test/java/juniperusher/net/RestartTest.java
+++ b/src/test/java/juniperusher/net/RestartTest.java
@@ -99,6 +99,34 @@
                 + "platform2> HTTP/1.1 204 No Content\\r\\n\\r\\n\n");
     }
 
+    private void hangUp() throws Exception {
+        assertEquals(new ProcessBuilder("kill", "-HUP", Long.toString(program.pid())).start().waitFor(), 0);
+    }
+
+    @Test
+    public void onSighupWatchAndNoticesMoveAndABrokenFileChangesNothing() throws Exception {
+        start();
+        play(WATCH + handIn("client1", "order", "ordem-build") + received("endpoint1", "order"));
+        Path file = folder.resolve("relay.json");
+        JsonObject json = Json.parse(Files.readString(file)).asObject();
+        Files.writeString(file, json.toString().substring(0, 900));
+        hangUp();
+        play("~ 300\n" + handIn("client1", "m1", "aviso-push") + received("endpoint2", "m1")
+                + "endpoint2> HTTP/1.1 200 OK\\r\\nContent-Length: 0\\r\\n\\r\\n\n");
+        Files.writeString(file, json.set("discovery", "127.0.0.1:" + player.server("moved")).toString());
+        hangUp();
+        // Another source may number its lists otherwise: the whole list first, then the watch from there on.
+        String list = "{\"version\":0,\"full\":true,\"servers\":[]}";
+        play("platform!\nmoved< GET /discovery/hosts HTTP/1.1\\r\\nHost: discovery\\r\\n\\r\\n\n"
+                + "moved> HTTP/1.1 200 OK\\r\\nContent-Length: " + list.length() + "\\r\\n\\r\\n" + list
+                + "\nmoved< GET /discovery/hosts?stream=1&index=0 HTTP/1.1\\r\\n"
+                + "Host: discovery\\r\\n\\r\\n\n"
+                + "endpoint1x\nmoved2< POST /status HTTP/1.1\\r\\nHost: platform\\r\\n"
+                + "Content-Length: 41\\r\\n\\r\\n{\"message\":\"order\",\"outcome\":\"given_up\"}\\n\n"
+                + "moved2> HTTP/1.1 204 No Content\\r\\n\\r\\n\n");
+        assertTrue(program.isAlive());
+    }
+
     @Test
     public void onSigtermItServesWhatStillArrivesAndIsOutBeforeTheKill() throws Exception {
         start();
