--- a/src/main/java/juniperusher/cli/Main.java
+++ b/src/main/java/juniperusher/cli/Main.java
@@ -108,7 +108,8 @@
             Path file = Path.of(variable("RELAY_CONFIG"));
             Config config = Config.read(file);
             Counters counters = new Counters();
-            Network network = new Network(config.settings().settings().allowed().connectTimeout());
+            Network network = new Network(config.settings().settings().allowed().connectTimeout(),
+                    config.descriptors());
             Extension extension = amqp == null ? null : new AmqpExtension(AmqpConfig.read(Path.of(amqp)),
                     config.classes(), config.settings().settings(), network);
             Platform platform = new Platform(config, Path.of(variable("RELAY_STATE")), counters, network,
--- a/src/main/java/juniperusher/cli/RemoteWrite.java
+++ b/src/main/java/juniperusher/cli/RemoteWrite.java
@@ -53,7 +53,7 @@
         interval = intervalMillis;
         this.text = text;
         this.network = network;
-        pool = new HttpPool(network, 60);
+        pool = new HttpPool(network, 60, 1);
     }
 
     void start() {
@@ -92,7 +92,7 @@
                     }
 
                     @Override
-                    public void ended(CallEnd why) {
+                    public void ended(CallEnd why, int firstLine) {
                         again(body, pause, why.name().toLowerCase(Locale.ROOT));
                     }
                 });
--- a/src/main/java/juniperusher/cli/Scrape.java
+++ b/src/main/java/juniperusher/cli/Scrape.java
@@ -21,7 +21,7 @@
     static String counters(InetSocketAddress address) throws IOException {
         CompletableFuture<HttpMessage> answer = new CompletableFuture<>();
         try (Network network = new Network(PATIENCE)) {
-            new HttpPool(network, PATIENCE).exchange(address, HttpMessage.request("GET", "/metrics",
+            new HttpPool(network, PATIENCE, 1).exchange(address, HttpMessage.request("GET", "/metrics",
                     new byte[0],
                     "Host", "relay"), () -> true, new HttpPool.Listener() {
                         @Override
@@ -30,7 +30,7 @@
                         }
 
                         @Override
-                        public void ended(CallEnd why) {
+                        public void ended(CallEnd why, int firstLine) {
                             answer.completeExceptionally(new IOException("no answer from " + address + ": "
                                     + why.name().toLowerCase(java.util.Locale.ROOT)));
                         }
--- a/src/main/java/juniperusher/cli/SelfTest.java
+++ b/src/main/java/juniperusher/cli/SelfTest.java
@@ -1,6 +1,7 @@
 package juniperusher.cli;
 
 import com.eclipsesource.json.Json;
+import com.eclipsesource.json.JsonArray;
 import com.eclipsesource.json.JsonObject;
 import java.io.IOException;
 import java.io.InputStream;
@@ -43,12 +44,14 @@
             InetSocketAddress listen = unused();
             json.set("listen", "127.0.0.1:" + listen.getPort())
                     .set("discovery", "127.0.0.1:" + unused().getPort());
+            json.get("known").asObject().set("servers", new JsonArray().add(new JsonObject().add("id", "s-1")
+                    .add("addr", "127.0.0.1:" + unused().getPort()).add("cell", 7).add("state", "up")));
             Files.writeString(folder.resolve("relay.json"), json.toString());
             Config config = Config.read(folder.resolve("relay.json"));
             Network network = new Network(1);
             try (Platform platform = new Platform(config, folder.resolve("state"), new Counters(), network,
                     null)) {
-                HttpPool pool = new HttpPool(network, 1);
+                HttpPool pool = new HttpPool(network, 1, 8);
                 check(pool, listen, HttpMessage.request("GET", "/up", new byte[0], "Host", "relay"), 200);
                 check(pool, listen, HttpMessage.request("POST", "/aviso-push", new byte[] {1}, "Host",
                         "relay",
@@ -85,7 +88,7 @@
             }
 
             @Override
-            public void ended(CallEnd why) {
+            public void ended(CallEnd why, int firstLine) {
                 status.completeExceptionally(new IOException("no answer: " + why));
             }
         });
--- a/src/main/java/juniperusher/core/CallEnd.java
+++ b/src/main/java/juniperusher/core/CallEnd.java
@@ -10,8 +10,10 @@
 public enum CallEnd {
     /** The endpoint has delivered it. */
     DELIVERED(Outcome.DELIVERED),
-    /** The endpoint answered with an error, or with something that nobody can read. */
+    /** The endpoint answered with an error. */
     FAILED(Outcome.ERROR),
+    /** The answer cannot be read, does not end or is longer than any answer may be. */
+    SPOILT(Outcome.ERROR),
     /** The endpoint turned it away unseen. */
     TURNED_AWAY(Outcome.FULL),
     /** The endpoint says that all slots of this relay were taken. */
@@ -44,6 +46,11 @@
         return outcome;
     }
 
+    /** The same end, given the status in the answer's first line, if any came, and the RPCs of the call. */
+    public CallEnd afterFirstLine(int status, int rpcs) {
+        return status == 200 && rpcs == 1 ? DELIVERED : this; // that much was said before the rest was lost
+    }
+
     /** The same end of a connection, given whether the call's last byte may have been written. */
     public CallEnd given(boolean lastByteMayBeWritten) {
         boolean cut = this == BROKEN || this == TIMED_OUT || this == CALLED_OFF;
--- a/src/main/java/juniperusher/core/DecisionLoop.java
+++ b/src/main/java/juniperusher/core/DecisionLoop.java
@@ -30,6 +30,8 @@
     private final PriorityQueue<WakeAt> wakes = new PriorityQueue<>((a, b) -> Double.compare(a.time(),
             b.time()));
 
+    private volatile boolean stopped;
+
     /** Carries out the actions of one round. */
     interface Executor {
         void carryOut(List<Action> actions);
@@ -45,6 +47,15 @@
         queue.add(event);
     }
 
+    /**
+     * Decides nothing more. Guards the journal: an interrupt would close its file under a write, and what the
+     * module decided would be done without being written down.
+     */
+    void stop() {
+        stopped = true;
+        queue.add(new Woken(-1));
+    }
+
     private double now() {
         return (System.nanoTime() - origin) / 1e9;
     }
@@ -52,7 +63,7 @@
     @Override
     public void run() {
         try {
-            while (!Thread.currentThread().isInterrupted()) {
+            while (!stopped) {
                 round();
             }
         } catch (InterruptedException e) {
@@ -78,7 +89,7 @@
         while (!wakes.isEmpty() && wakes.peek().time() <= now) {
             events.add(new Woken(wakes.poll().token()));
         }
-        if (events.isEmpty()) {
+        if (events.isEmpty() || stopped) {
             return;
         }
         List<Action> actions = control.decide(now, events);
--- a/src/main/java/juniperusher/core/Relay.java
+++ b/src/main/java/juniperusher/core/Relay.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.atomic.AtomicInteger;
 import juniperusher.Control;
 import juniperusher.Protocol.Action;
@@ -38,7 +39,7 @@
 /** The core: takes RPCs on, has the module decide, carries out what it decides and answers for every end. */
 public final class Relay {
     private static final Logger LOG = LoggerFactory.getLogger(Relay.class);
-    private static final int STACK = 128 * 1024; // bytes, an RPC's thread calls little
+    private static final long ENDS = 300; // ms in which the last round ends
     private static final double FULL_RETRY = 0.5; // s, told when no room is left: the module's first pause
 
     private final Settings settings;
@@ -54,6 +55,11 @@
     private final Set<String> arriving = ConcurrentHashMap.newKeySet();
     private final AtomicInteger owed = new AtomicInteger();
     private volatile long noUnsafeAfter = Long.MAX_VALUE;
+    private final ScheduledThreadPoolExecutor timers = new ScheduledThreadPoolExecutor(1, task -> {
+        Thread thread = new Thread(null, task, "call-timers", 128 * 1024);
+        thread.setDaemon(true);
+        return thread;
+    });
     private Thread loopThread;
 
     /** Sends a note to the relay of that number, or to all others for -1. */
@@ -68,6 +74,7 @@
         this.counters = counters;
         this.subchannels = subchannels;
         this.notes = notes;
+        timers.setRemoveOnCancelPolicy(true); // else each answered call's timer stays up to its time-out
         journal = new Journal(state, diskBytes, settings.allowed().held());
         loop = new DecisionLoop(new Control(settings, seed), gap, this::carryOut);
         counters.gauge("held", held::size);
@@ -104,7 +111,7 @@
         } else if (rpc.timeLeft() <= 0) {
             end(rpc, new RpcEnd(request.id(), request.returnAddress(), RpcEnd.Kind.HANDED_BACK, 0));
         } else {
-            startThread(rpc);
+            rpc.live();
         }
     }
 
@@ -150,7 +157,7 @@
         held.put(number, rpc);
         heldIds.put(request.key(), rpc);
         channel.takenOn();
-        startThread(rpc);
+        rpc.live();
     }
 
     private void refuse(RpcRequest request, Channel channel, String why) {
@@ -164,17 +171,9 @@
         heldIds.put(rpc.request().key(), rpc);
     }
 
-    private void startThread(Rpc rpc) {
-        Thread thread = new Thread(null, rpc, "rpc-" + rpc.number(), STACK);
-        thread.setDaemon(true);
-        try {
-            thread.start();
-        } catch (OutOfMemoryError e) {
-            // Guards against an RPC that is taken on and has nobody who answers for it: it never ran.
-            LOG.error("no thread for RPC {}", rpc.number(), e);
-            end(rpc, new RpcEnd(rpc.request().id(), rpc.request().returnAddress(), RpcEnd.Kind.HANDED_BACK,
-                    FULL_RETRY));
-        }
+    /** Whether a resolver result, or an extension, has ever named the destination. */
+    public boolean knows(int destination) {
+        return guards.knows(destination);
     }
 
     void arrived(Rpc rpc, int attemptsUsed) {
@@ -198,9 +197,6 @@
 
     void attemptEnded(Rpc rpc, int attempt, SharedCall call, CallResult result, boolean over) {
         Target target = call.target();
-        if (result.told() > 0) {
-            guards.wait(target.destination(), result.told());
-        }
         if (!over) {
             journal.outcome(rpc.number(), result.end().outcome().neverRan());
         }
@@ -243,9 +239,12 @@
                     rpc.callOff();
                 }
             } else if (action instanceof Probe probe) {
-                probe(guards.target(probe.target()));
+                probe(probe.target());
             } else if (action instanceof CloseIdle close) {
-                subchannels.closeIdle(guards.target(close.target()));
+                Target target = guards.target(close.target());
+                if (target != null) {
+                    subchannels.closeIdle(target);
+                }
             } else if (action instanceof Note note) {
                 notes.send(note.to(), note.note());
             } else if (action instanceof Log log) {
@@ -260,12 +259,19 @@
         Target target = guards.target(send.target());
         if (call == null || call.size() >= settings.kinds().get(target.kind()).batch()) {
             call = new SharedCall(target, subchannels, () -> guards.mayCall(target.id(),
-                    target.destination()));
+                    target.destination()), timers, result -> heard(target, result));
             forming.put(send.target(), call);
         }
         return call;
     }
 
+    /** Guards a told wait from the moment at which its answer is read: RPCs and the module hear it later. */
+    private void heard(Target target, CallResult result) {
+        if (result.told() > 0) {
+            guards.wait(target.destination(), result.told());
+        }
+    }
+
     private void choose(int message, Object choice) {
         Rpc rpc = held.get(message);
         if (rpc != null) {
@@ -273,9 +279,10 @@
         }
     }
 
-    private void probe(Target target) {
-        if (!guards.mayCall(target.id(), target.destination())) {
-            loop.post(new Probed(target.id(), false, false, 0));
+    private void probe(int id) {
+        Target target = guards.target(id);
+        if (target == null || !guards.mayCall(target.id(), target.destination())) {
+            loop.post(new Probed(id, false, false, 0));
             return;
         }
         counters.add("probes_total");
@@ -306,8 +313,10 @@
     }
 
     /** Stops deciding; what is held stays owed in the journal. */
-    public void close() {
-        loopThread.interrupt();
+    public void close() throws InterruptedException {
+        loop.stop();
+        loopThread.join(ENDS); // what it has decided it carries out
+        timers.shutdownNow();
     }
 
     Journal journal() {
--- a/src/main/java/juniperusher/core/Rpc.java
+++ b/src/main/java/juniperusher/core/Rpc.java
@@ -1,23 +1,23 @@
 package juniperusher.core;
 
-import java.util.concurrent.BlockingQueue;
-import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.CompletableFuture;
 import juniperusher.Protocol.Fail;
 import juniperusher.Protocol.Refuse;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
 /**
- * The life of one RPC, from top to bottom, on a thread of its own. The module is asked at each point of
- * choice: it is told of the arrival and of each attempt's end, and its next choice comes into the mailbox.
+ * The life of one RPC, from top to bottom, as one chain of futures: a thread for each would not fit into a
+ * small relay. The module is asked at each point of choice: it is told of the arrival and of each attempt's
+ * end, and its next choice completes the future that the chain goes on from.
  */
-final class Rpc implements Runnable {
+final class Rpc {
     private static final Logger LOG = LoggerFactory.getLogger(Rpc.class);
 
     private final int number;
     private final RpcRequest request;
     private final Relay relay;
-    private final BlockingQueue<Object> mailbox = new LinkedBlockingQueue<>();
+    private volatile CompletableFuture<Object> choice = new CompletableFuture<>();
     private int attempts;
     private volatile SharedCall out;
     private volatile boolean over;
@@ -29,54 +29,63 @@
         this.relay = relay;
     }
 
-    @Override
-    public void run() {
-        try {
-            relay.arrived(this, attempts);
-            while (true) {
-                Object choice = mailbox.take();
-                if (choice instanceof SharedCall call) {
-                    int attempt = attempts++;
-                    out = call;
-                    relay.journal().attempt(number);
-                    CallResult result = call.await(this);
+    /** From the arrival on. */
+    void live() {
+        CompletableFuture<Object> first = choice;
+        relay.arrived(this, attempts);
+        turn(first);
+    }
+
+    /** From one choice of the module to the next, or to the end. */
+    private void turn(CompletableFuture<Object> chosen) {
+        chosen.thenCompose(made -> {
+            // Laid out before the module hears anything, since its next choice may come at once.
+            CompletableFuture<Object> next = new CompletableFuture<>();
+            choice = next;
+            if (made instanceof SharedCall call) {
+                int attempt = attempts++;
+                out = call;
+                relay.journal().attempt(number);
+                return call.join(this).thenAccept(result -> {
                     out = null;
                     over = result.end() == CallEnd.DELIVERED || result.end() == CallEnd.OVER;
                     relay.attemptEnded(this, attempt, call, result, over);
                     if (over) {
-                        relay.end(this, new RpcEnd(request.id(), request.returnAddress(),
-                                RpcEnd.Kind.DELIVERED, 0));
-                        return;
+                        end(RpcEnd.Kind.DELIVERED, 0);
+                    } else {
+                        turn(next);
                     }
-                } else if (choice instanceof Refuse refuse) {
-                    over = true;
-                    relay.end(this, new RpcEnd(request.id(), request.returnAddress(),
-                            RpcEnd.Kind.HANDED_BACK, refuse.after()));
-                    return;
-                } else if (choice instanceof Fail) {
-                    over = true;
-                    relay.end(this, new RpcEnd(request.id(), request.returnAddress(),
-                            RpcEnd.Kind.GIVEN_UP, 0));
-                    return;
-                }
+                });
+            } else if (made instanceof Refuse refuse) {
+                end(RpcEnd.Kind.HANDED_BACK, refuse.after());
+            } else if (made instanceof Fail) {
+                end(RpcEnd.Kind.GIVEN_UP, 0);
+            } else {
+                turn(next);
             }
-        } catch (RuntimeException | StackOverflowError e) {
-            // Guards against an RPC that nobody answers for: what broke is unknown, so it may have run.
-            LOG.error("RPC {} failed", number, e);
-            if (!over) {
-                over = true;
-                relay.abandon(this, attempts - 1, out);
-                relay.end(this, new RpcEnd(request.id(), request.returnAddress(), RpcEnd.Kind.GIVEN_UP, 0));
-            }
-        } catch (InterruptedException e) {
-            // The process is ending: the RPC is owed, and the journal holds it.
-            Thread.currentThread().interrupt();
+            return CompletableFuture.<Void>completedFuture(null);
+        }).exceptionally(this::broken);
+    }
+
+    private void end(RpcEnd.Kind kind, double retryIn) {
+        over = true;
+        relay.end(this, new RpcEnd(request.id(), request.returnAddress(), kind, retryIn));
+    }
+
+    /** Guards against an RPC that nobody answers for: what broke is unknown, so it may have run. */
+    private Void broken(Throwable why) {
+        LOG.error("RPC {} failed", number, why);
+        if (!over) {
+            over = true;
+            relay.abandon(this, attempts - 1, out);
+            end(RpcEnd.Kind.GIVEN_UP, 0);
         }
+        return null;
     }
 
     /** The module's choice: a {@link SharedCall}, a {@link Refuse} or a {@link Fail}. */
-    void choose(Object choice) {
-        mailbox.add(choice);
+    void choose(Object made) {
+        choice.complete(made);
     }
 
     void callOff() {
--- a/src/main/java/juniperusher/core/SharedCall.java
+++ b/src/main/java/juniperusher/core/SharedCall.java
@@ -3,9 +3,10 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.ExecutionException;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.TimeoutException;
+import java.util.function.Consumer;
 import juniperusher.Protocol.Target;
 
 /**
@@ -19,6 +20,8 @@
     private final Target target;
     private final Subchannels subchannels;
     private final Subchannels.Clearance clearance;
+    private final ScheduledExecutorService timers;
+    private final Consumer<CallResult> heard;
     private final List<Member> members = new ArrayList<>();
     private int joined;
     private int calledOff;
@@ -36,10 +39,14 @@
         }
     }
 
-    SharedCall(Target target, Subchannels subchannels, Subchannels.Clearance clearance) {
+    /** {@code heard} takes each result at once, before any RPC does. */
+    SharedCall(Target target, Subchannels subchannels, Subchannels.Clearance clearance,
+            ScheduledExecutorService timers, Consumer<CallResult> heard) {
         this.target = target;
         this.subchannels = subchannels;
         this.clearance = clearance;
+        this.timers = timers;
+        this.heard = heard;
     }
 
     Target target() {
@@ -61,63 +68,63 @@
         timeout = Math.max(timeout, wanted);
     }
 
-    /**
-     * Joins and waits for this RPC's result. Guards against a second copy: an RPC whose own time-out is
-     * over stays while the call is out for the others, up to its deadline, since nobody sends it again
-     * after that.
-     */
-    CallResult await(Rpc rpc) throws InterruptedException {
+    /** Joins; this RPC's result is to come. The last to join starts the call. */
+    CompletableFuture<CallResult> join(Rpc rpc) {
         Member self = members.stream().filter(member -> member.rpc == rpc).findFirst().orElseThrow();
         boolean last;
         synchronized (this) {
             last = ++joined == members.size();
         }
         if (last) {
-            Subchannels.Call started = subchannels.call(target, members.stream().map(member ->
-                    member.rpc.request()).toList(), timeout, this::clear, (place, result) ->
-                    members.get(place).result.complete(result));
-            synchronized (this) {
-                call = started;
-            }
-            if (abandoned()) {
-                started.abandon(CallEnd.CALLED_OFF);
-            }
+            start();
+        }
+        return self.result;
+    }
+
+    private void start() {
+        Subchannels.Call started = subchannels.call(target, members.stream().map(member ->
+                member.rpc.request()).toList(), timeout, this::clear, (place, result) -> {
+                    heard.accept(result);
+                    members.get(place).result.complete(result);
+                });
+        boolean off;
+        synchronized (this) {
+            call = started;
+            off = abandoned;
         }
-        try {
-            double left = Math.min(timeout - elapsed(), rpc.timeLeft() - (members.size() > 1 ? ENDS_EARLY
-                    : 0));
-            return self.result.get((long) (Math.max(0, left) * 1e9), TimeUnit.NANOSECONDS);
-        } catch (TimeoutException e) {
-            return timedOut(self);
-        } catch (ExecutionException e) {
-            throw new IllegalStateException(e);
+        if (off) {
+            started.abandon(CallEnd.CALLED_OFF);
+        }
+        for (Member member : members) {
+            double left = Math.min(timeout - elapsed(), member.rpc.timeLeft()
+                    - (members.size() > 1 ? ENDS_EARLY : 0));
+            ScheduledFuture<?> timer = timers.schedule(() -> timedOut(member),
+                    (long) (Math.max(0, left) * 1e9), TimeUnit.NANOSECONDS);
+            member.result.whenComplete((result, failure) -> timer.cancel(false));
         }
     }
 
-    private CallResult timedOut(Member self) throws InterruptedException {
-        Subchannels.Call out;
+    /**
+     * Guards against a second copy: an RPC whose own time-out is over stays while the call is out for the
+     * others, up to its deadline, since nobody sends it again after that.
+     */
+    private void timedOut(Member self) {
         boolean alone;
         synchronized (this) {
-            out = call;
             alone = elapsed() >= timeout || members.stream().allMatch(member -> member == self
                     || member.result.isDone());
         }
-        if (out != null && (alone || members.size() == 1)) {
-            out.abandon(CallEnd.TIMED_OUT);
-            return self.result.join();
+        if (alone) {
+            call.abandon(CallEnd.TIMED_OUT);
+        } else {
+            self.result.complete(CallResult.of(CallEnd.TIMED_OUT));
         }
-        self.result.complete(CallResult.of(CallEnd.TIMED_OUT));
-        return self.result.join();
     }
 
     private boolean clear() {
         return clearance.mayStart() && members.stream().allMatch(member -> member.rpc.mayStart());
     }
 
-    private synchronized boolean abandoned() {
-        return abandoned;
-    }
-
     /** The module calls an RPC's attempt off: the connection closes once all that share it are called off. */
     void callOff() {
         Subchannels.Call out;
--- a/src/main/java/juniperusher/http/Config.java
+++ b/src/main/java/juniperusher/http/Config.java
@@ -22,6 +22,7 @@
  * @param discovery the platform's agent
  * @param seed      for random numbers
  * @param diskBytes room in the folder that lasts
+ * @param descriptors how many the process may hold
  * @param peerListen where notes arrive, or null
  * @param peers     the relays of the tier, in the order of their numbers
  * @param peersAll  the address for all of them, or null
@@ -33,7 +34,7 @@
  * @param gap       shortest time between two rounds in seconds
  */
 public record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed,
-        long diskBytes, InetSocketAddress peerListen, List<InetSocketAddress> peers,
+        long diskBytes, int descriptors, InetSocketAddress peerListen, List<InetSocketAddress> peers,
         InetSocketAddress peersAll, JsonObject known, SettingsParser.Parsed settings, List<String> classes,
         List<String> kinds, List<String> zones, double gap) {
 
@@ -65,6 +66,7 @@
                 address(json.get("discovery").asString()),
                 Long.parseUnsignedLong(json.get("seed").asString(), 16),
                 (long) (json.get("limits").asObject().getDouble("disk_mb", 1) * (1 << 20)),
+                json.get("limits").asObject().getInt("sockets", 1024),
                 optional(json.get("peer_listen")), peers, optional(json.get("peers_all")),
                 json.get("known").asObject(), SettingsParser.parse(lines.toString()), classes,
                 names(settings.get("kinds")), names(settings.get("azs")),
@@ -76,8 +78,8 @@
      * a file takes effect at the next start.
      */
     Config movedTo(Config newer) {
-        return new Config(name, listen, newer.discovery, seed, diskBytes, peerListen, newer.peers,
-                newer.peersAll, known, settings, classes, kinds, zones, gap);
+        return new Config(name, listen, newer.discovery, seed, diskBytes, descriptors, peerListen,
+                newer.peers, newer.peersAll, known, settings, classes, kinds, zones, gap);
     }
 
     private static List<String> names(JsonValue value) {
--- a/src/main/java/juniperusher/http/HttpSubchannels.java
+++ b/src/main/java/juniperusher/http/HttpSubchannels.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.regex.Pattern;
 import juniperusher.Protocol.Report;
 import juniperusher.Protocol.Target;
 import juniperusher.core.CallEnd;
@@ -26,6 +27,9 @@
 final class HttpSubchannels implements Subchannels {
     private static final long PROBE_MS = 1_500; // an endpoint that answers no probe by then is down
 
+    private static final Pattern NUMBER =
+            Pattern.compile("[+-]?\\d{1,12}(\\.\\d{0,12})?([eE][+-]?\\d{1,2})?");
+
     private final HttpPool pool;
     private final Network network;
     private final Resolver resolver;
@@ -42,7 +46,7 @@
     public Call call(Target subchannel, List<RpcRequest> rpcs, double timeout, Clearance clearance,
             Results results) {
         HttpMessage message = rpcs.size() == 1 ? one(rpcs.get(0), timeout) : many(rpcs, timeout);
-        return pool.exchange(resolver.address(subchannel.id()), message, clearance::mayStart,
+        return pool.exchange(resolver.address(subchannel.id()), subchannel.id(), message, clearance::mayStart,
                 new HttpPool.Listener() {
                     @Override
                     public void answered(HttpMessage response) {
@@ -55,9 +59,10 @@
                     }
 
                     @Override
-                    public void ended(CallEnd why) {
+                    public void ended(CallEnd why, int firstLine) {
+                        CallEnd end = why.afterFirstLine(firstLine, rpcs.size());
                         for (int i = 0; i < rpcs.size(); i++) {
-                            results.ended(i, CallResult.of(why));
+                            results.ended(i, CallResult.of(end));
                         }
                     }
                 })::abandon;
@@ -113,11 +118,13 @@
 
     private static double told(HttpMessage response) {
         String wait = response.get("Retry-After");
-        try {
-            return wait == null ? 0 : Math.max(0, Double.parseDouble(wait.strip()));
-        } catch (NumberFormatException e) {
-            return 0;
-        }
+        double seconds = wait == null ? 0 : number(wait);
+        return seconds > 0 ? seconds : 0; // nor is one that cannot be read a wait
+    }
+
+    /** A decimal number, or NaN for what is none: 'Infinity' and '0x1p3' are none. */
+    private static double number(String text) {
+        return NUMBER.matcher(text.strip()).matches() ? Double.parseDouble(text.strip()) : Double.NaN;
     }
 
     private Report report(HttpMessage response) {
@@ -129,13 +136,12 @@
         double left = 0;
         for (String part : text.split(",")) {
             int at = part.indexOf('=');
-            try {
-                double value = at < 0 ? 0 : Double.parseDouble(part.substring(at + 1).strip());
-                limit = at >= 0 && part.substring(0, at).strip().equals("x1") ? value : limit;
-                left = at >= 0 && part.substring(0, at).strip().equals("x0") ? value : left;
-            } catch (NumberFormatException e) {
-                return null;
+            double value = at < 0 ? Double.NaN : number(part.substring(at + 1));
+            if (!(value >= 0)) {
+                return null; // a report that cannot be read is none; the answer stands
             }
+            limit = part.substring(0, at).strip().equals("x1") ? value : limit;
+            left = part.substring(0, at).strip().equals("x0") ? value : left;
         }
         return new Report(limit, left);
     }
@@ -146,8 +152,9 @@
     public void probe(Target subchannel, Probed probed) {
         long from = System.nanoTime();
         InetSocketAddress address = resolver.address(subchannel.id());
-        HttpPool.Exchange exchange = pool.exchange(address, HttpMessage.request("GET", "/alive", new byte[0],
-                "Host", "endpoint"), () -> true, new HttpPool.Listener() {
+        HttpMessage asked = HttpMessage.request("GET", "/alive", new byte[0], "Host", "endpoint");
+        HttpPool.Exchange exchange = pool.exchange(address, subchannel.id(), asked, () -> true,
+                new HttpPool.Listener() {
                     @Override
                     public void answered(HttpMessage response) {
                         probed.probed(response.status() == 200, response.status() == 503,
@@ -155,8 +162,8 @@
                     }
 
                     @Override
-                    public void ended(CallEnd why) {
-                        probed.probed(false, false, (System.nanoTime() - from) / 1e9);
+                    public void ended(CallEnd why, int firstLine) {
+                        probed.probed(firstLine == 200, firstLine == 503, (System.nanoTime() - from) / 1e9);
                     }
                 });
         network.scheduler().schedule(() -> exchange.abandon(CallEnd.TIMED_OUT), PROBE_MS,
@@ -165,6 +172,6 @@
 
     @Override
     public void closeIdle(Target subchannel) {
-        pool.closeIdle(resolver.address(subchannel.id()));
+        pool.closeIdle(resolver.address(subchannel.id()), subchannel.id());
     }
 }
--- a/src/main/java/juniperusher/http/Notices.java
+++ b/src/main/java/juniperusher/http/Notices.java
@@ -66,7 +66,7 @@
                     }
 
                     @Override
-                    public void ended(CallEnd why) {
+                    public void ended(CallEnd why, int firstLine) {
                         done(List.of());
                     }
                 });
--- a/src/main/java/juniperusher/http/Platform.java
+++ b/src/main/java/juniperusher/http/Platform.java
@@ -22,6 +22,8 @@
 public final class Platform implements AutoCloseable {
     private static final Logger LOG = LoggerFactory.getLogger(Platform.class);
     private static final double IDLE_SHARE = 0.8; // of the endpoints' idle time: closed by us before
+    private static final double IDLE_DESCRIPTORS = 0.15; // of all, for idle connections to endpoints
+    private static final int LEAST_IDLE = 8; // whatever the limit says
     private static final long LAST_UNSAFE = 1_200; // ms after SIGTERM: time for an answer before the end
     private static final long SERVE = 3_200; // ms after SIGTERM; SIGKILL comes after 3.7 s
 
@@ -43,7 +45,8 @@
         this.network = network;
         this.extension = extension;
         var allowed = first.settings().settings().allowed();
-        HttpPool pool = new HttpPool(network, allowed.keepAlive() * IDLE_SHARE);
+        HttpPool pool = new HttpPool(network, allowed.keepAlive() * IDLE_SHARE,
+                Math.max(LEAST_IDLE, (int) (first.descriptors() * IDLE_DESCRIPTORS)));
         peers = new Peers(config::get);
         Relay[] made = new Relay[1];
         resolver = new Resolver(config::get, pool, network, list -> made[0].resolved(extended(list)));
@@ -54,6 +57,8 @@
         made[0] = relay;
         Notices notices = new Notices(() -> config.get().discovery(), pool, network);
         counters.gauge("notices_waiting", notices::waiting);
+        counters.gauge("connections_in", network.inbound()::size);
+        counters.gauge("connections_shed", network::shed);
         front = new PlatformFront(first, notices, counters, relay);
         relay.add(front);
         if (extension != null) {
--- a/src/main/java/juniperusher/http/PlatformFront.java
+++ b/src/main/java/juniperusher/http/PlatformFront.java
@@ -62,6 +62,11 @@
         return closing;
     }
 
+    @Override
+    public void refused(int status) {
+        counters.add("unreadable_total", "status", Integer.toString(status));
+    }
+
     @Override
     public void handle(HttpMessage request, Responder responder) {
         if (request.method().equals("GET") && request.path().equals("/up")) {
@@ -81,9 +86,15 @@
         try {
             rpc = read(request);
         } catch (IllegalArgumentException e) {
+            refused(400);
             responder.respond(HttpMessage.response(400, e.getMessage() + '\n'));
             return;
         }
+        if (!relay.knows(rpc.destination())) {
+            counters.add("refused_total", "front", name(), "why", "destination");
+            responder.respond(HttpMessage.response(503, "X-Envelope names no destination known here\n"));
+            return;
+        }
         relay.offer(rpc, new Channel() {
             @Override
             public void takenOn() {
@@ -103,18 +114,28 @@
         if (id == null || id.isEmpty() || id.length() > 200) {
             throw new IllegalArgumentException("X-Call-Id is missing or too long");
         }
-        int place = config.classes().indexOf(String.valueOf(request.get("X-Call-Class")));
+        String messageClass = String.valueOf(request.get("X-Call-Class"));
+        int place = config.classes().indexOf(messageClass);
         if (place < 0) {
             throw new IllegalArgumentException("X-Call-Class is unknown");
         }
+        String path = request.path().replaceFirst("^(https?://[^/]*)?/", "");
+        if (!path.split("[/?]", 2)[0].equals(messageClass)) {
+            throw new IllegalArgumentException("the path does not begin with the class");
+        }
+        double most = config.settings().settings().classes().get(place).deadline() * 1000;
+        long budget = Math.min(budget(request.get("X-Budget")), (long) most);
         return new RpcRequest(id, name(), place, destination(request.get("X-Envelope")),
-                System.currentTimeMillis() + budget(request.get("X-Budget")), "", false, request.body());
+                System.currentTimeMillis() + budget, "", false, request.body());
     }
 
     private static int destination(String envelope) {
         for (String part : envelope == null ? new String[0] : envelope.split("[,;]")) {
             if (part.strip().startsWith("dest=")) {
-                return Integer.parseInt(part.strip().substring("dest=".length()));
+                String number = part.strip().substring("dest=".length());
+                if (number.matches("\\d{1,9}")) {
+                    return Integer.parseInt(number);
+                }
             }
         }
         throw new IllegalArgumentException("X-Envelope names no destination");
--- a/src/main/java/juniperusher/http/Resolver.java
+++ b/src/main/java/juniperusher/http/Resolver.java
@@ -10,10 +10,12 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
+import java.util.stream.Collectors;
 import juniperusher.Protocol.Phase;
 import juniperusher.Protocol.Target;
 import juniperusher.Protocol.TargetList;
@@ -35,12 +37,16 @@
     private static final long SILENT_WHOLE = 1_000; // ms for the whole list, which an agent tells at once
     private static final long AGAIN = 250; // ms before the watch is opened anew
 
+    private static final long MOST_LIST = 1 << 20; // bytes of the whole list
+    private static final long FORGET = 30; // s after which a gone endpoint has no call out
+
     private final Supplier<Config> config;
     private final HttpPool pool;
     private final Network network;
     private final Consumer<TargetList> told;
     private final Map<String, Integer> numbers = new ConcurrentHashMap<>();
     private final Map<Integer, InetSocketAddress> addresses = new ConcurrentHashMap<>();
+    private int lastNumber;
     private long version;
     private boolean numbered = true; // the version was told by the agent that is asked
     private volatile long heardAt;
@@ -132,6 +138,11 @@
             return true;
         }
 
+        @Override
+        public long most() {
+            return whole ? MOST_LIST : Long.MAX_VALUE;
+        }
+
         @Override
         public void answered(HttpMessage response) {
             if (whole && response.status() == 200 && take(this, response.text())) {
@@ -142,7 +153,7 @@
         }
 
         @Override
-        public void ended(CallEnd why) {
+        public void ended(CallEnd why, int firstLine) {
             again();
         }
 
@@ -172,7 +183,8 @@
         List<Target> targets = new ArrayList<>();
         for (JsonValue value : json.get("servers").asArray()) {
             JsonObject entry = value.asObject();
-            int number = numbers.computeIfAbsent(entry.getString("id", ""), id -> numbers.size() + 1);
+            String id = entry.getString("id", "");
+            int number = numbers.computeIfAbsent(id, key -> ++lastNumber);
             if (entry.get("addr") != null && entry.get("addr").isString()) {
                 addresses.put(number, Config.address(entry.getString("addr", "")));
             }
@@ -181,12 +193,23 @@
                 case "draining" -> Phase.DRAINING;
                 default -> Phase.GONE;
             };
+            if (phase == Phase.GONE) {
+                pool.closeIdle(addresses.get(number), number);
+                numbers.remove(id); // should it come again, it is a new one to all that knew it
+                network.scheduler().schedule(() -> addresses.remove(number), FORGET, TimeUnit.SECONDS);
+            }
             targets.add(new Target(number, entry.getInt("cell", -1),
                     Math.max(0, config.get().kinds().indexOf(entry.getString("kind", ""))),
                     Math.max(0, config.get().zones().indexOf(entry.getString("zone", ""))),
                     entry.getDouble("weight", 1), phase));
         }
         version = json.getLong("version", version);
-        return new TargetList(json.getBoolean("full", true), targets);
+        boolean full = json.getBoolean("full", true);
+        if (full) {
+            Set<Integer> named = targets.stream().map(Target::id).collect(Collectors.toSet());
+            numbers.values().retainAll(named);
+            addresses.keySet().retainAll(named);
+        }
+        return new TargetList(full, targets);
     }
 }
--- a/src/main/java/juniperusher/net/HttpClientConnection.java
+++ b/src/main/java/juniperusher/net/HttpClientConnection.java
@@ -3,6 +3,7 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import juniperusher.core.CallEnd;
 import org.eclipse.jetty.http.HttpException;
@@ -15,32 +16,50 @@
 import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.util.BufferUtil;
 import org.eclipse.jetty.util.Callback;
+import org.eclipse.jetty.util.thread.Scheduler;
 
-/** The client's side of an HTTP/1.1 connection: one exchange at a time. */
+/**
+ * The client's side of an HTTP/1.1 connection: one exchange at a time. Guards against answers that cannot be
+ * read, do not end or are too long: such an answer is spoilt, and its connection is closed at once. What
+ * comes behind a good answer spoils the connection alone and is never read as the next call's answer.
+ */
 final class HttpClientConnection extends AbstractConnection implements HttpParser.ResponseHandler {
     private static final int BUFFER = 4 * 1024;
+    private static final int MOST_HEAD = 16 * 1024; // bytes
+    private static final int MOST_INTERIM = 16; // 1xx answers in front of the final one
+    private static final long ANSWER = 500; // ms from an answer's first byte to its last
 
+    private final Network network;
     private final HttpPool pool;
-    private final HttpParser parser = new HttpParser(this, 16 * 1024);
+    private final HttpParser parser = new HttpParser(this, MOST_HEAD);
     private final ByteBuffer in = BufferUtil.allocate(BUFFER);
+    private final Consumer<HttpClientConnection> opened;
     private HttpFields.Mutable fields = HttpFields.build();
     private ByteArrayOutputStream body = new ByteArrayOutputStream();
     private int status;
+    private int interim;
     private boolean complete;
+    private boolean spoilt;
     private boolean keep = true;
     private volatile HttpPool.Exchange exchange;
     private volatile boolean closed;
-    private long idleSince;
-
-    private final Consumer<HttpClientConnection> opened;
+    private volatile long idleSince;
+    private Scheduler.Task overdue;
 
     HttpClientConnection(EndPoint endPoint, Network network, HttpPool pool,
             Consumer<HttpClientConnection> opened) {
         super(endPoint, network.threads());
+        this.network = network;
         this.pool = pool;
         this.opened = opened;
     }
 
+    /** Nothing here waits, so the selector's thread itself reads: no hand-over for each answer. */
+    @Override
+    public InvocationType getInvocationType() {
+        return InvocationType.NON_BLOCKING;
+    }
+
     @Override
     public void onOpen() {
         super.onOpen();
@@ -48,6 +67,15 @@
         opened.accept(this);
     }
 
+    /** Whether nothing has come since the last answer; asked before the connection is used again. */
+    synchronized boolean quiet() {
+        try {
+            return usable() && !in.hasRemaining() && getEndPoint().fill(in) == 0;
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
     /**
      * Writes the exchange's request. From here on its last byte may be gone, unless the write says otherwise.
      */
@@ -62,7 +90,7 @@
             if (request.hasRemaining()) {
                 next.neverWhole();
             }
-            lost();
+            lost(CallEnd.BROKEN);
         }), request);
     }
 
@@ -80,70 +108,100 @@
 
     @Override
     public void onFillable() {
+        Runnable told;
+        synchronized (this) {
+            told = read();
+        }
+        if (told != null) {
+            told.run(); // not under the lock: what hears of it may use other connections
+        }
+    }
+
+    /** Reads what is there; the rest of the matter, if an answer has come or can come no more. */
+    private Runnable read() {
         try {
-            while (true) {
+            while (!closed) {
                 if (!in.hasRemaining()) {
                     int n = getEndPoint().fill(in);
                     if (n < 0) {
                         parser.atEOF();
                         parser.parseNext(BufferUtil.EMPTY_BUFFER);
-                        if (complete) {
-                            keep = false;
-                            finished();
-                        }
-                        lost();
-                        return;
+                        keep = false;
+                        return complete ? finished() : () -> lost(CallEnd.BROKEN);
                     }
                     if (n == 0) {
+                        limitTime();
                         fillInterested();
-                        return;
+                        return null;
                     }
                 }
                 if (exchange == null) {
-                    lost(); // bytes that answer nothing
-                    return;
+                    return () -> lost(CallEnd.BROKEN); // bytes that answer nothing
                 }
-                parser.parseNext(in);
-                if (complete) {
-                    finished();
-                    if (closed) {
-                        return;
-                    }
+                int before = in.remaining();
+                boolean stopped = parser.parseNext(in) || in.remaining() == before;
+                if (complete && !spoilt && status < 200 && status != 101 && ++interim <= MOST_INTERIM) {
+                    reset(); // the final answer is still to come
+                } else if (complete && !spoilt && status >= 200) {
+                    return finished();
+                } else if (spoilt || stopped) {
+                    return () -> lost(CallEnd.SPOILT);
                 }
             }
+            return null;
         } catch (IOException | RuntimeException e) {
-            lost();
+            return () -> lost(CallEnd.BROKEN);
         }
     }
 
-    private void finished() {
-        HttpPool.Exchange done = exchange;
-        HttpMessage response = new HttpMessage(Integer.toString(status), fields.asImmutable(),
-                body.toByteArray());
-        exchange = null;
+    private void limitTime() {
+        HttpPool.Exchange current = exchange;
+        if (current != null && overdue == null && !parser.isStart() && !current.endless()) {
+            overdue = network.scheduler().schedule(() -> {
+                if (exchange == current) {
+                    lost(CallEnd.SPOILT);
+                }
+            }, ANSWER, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void reset() {
         complete = false;
         fields = HttpFields.build();
         body = new ByteArrayOutputStream();
         parser.reset();
-        boolean reuse = keep && !in.hasRemaining() && getEndPoint().isOpen();
-        if (!reuse) {
+    }
+
+    private Runnable finished() throws IOException {
+        HttpPool.Exchange done = exchange;
+        HttpMessage response = new HttpMessage(Integer.toString(status), fields.asImmutable(),
+                body.toByteArray());
+        if (overdue != null) {
+            overdue.cancel();
+            overdue = null;
+        }
+        exchange = null;
+        interim = 0;
+        reset();
+        boolean reuse = keep && !in.hasRemaining() && getEndPoint().isOpen() && getEndPoint().fill(in) == 0;
+        if (reuse) {
+            fillInterested();
+        } else {
             closed = true;
             close();
         }
-        if (done != null) {
-            done.answered(response, reuse ? this : null);
-        }
+        return done == null ? null : () -> done.answered(response, reuse ? this : null);
     }
 
-    /** The connection is of no more use; an exchange on it ends as broken. */
-    void lost() {
+    /** The connection is of no more use; an exchange on it ends so. */
+    void lost(CallEnd why) {
         closed = true;
         close();
         pool.gone(this);
         HttpPool.Exchange cut = exchange;
         exchange = null;
         if (cut != null) {
-            cut.ended(CallEnd.BROKEN);
+            cut.ended(why);
         }
     }
 
@@ -160,6 +218,10 @@
     public void startResponse(HttpVersion version, int code, String reason) {
         status = code;
         keep = version == HttpVersion.HTTP_1_1;
+        HttpPool.Exchange current = exchange;
+        if (current != null && code >= 200) {
+            current.firstLine(code);
+        }
     }
 
     @Override
@@ -170,7 +232,9 @@
 
     @Override
     public boolean headerComplete() {
-        return false;
+        HttpPool.Exchange current = exchange;
+        spoilt |= current != null && parser.getContentLength() > current.most();
+        return spoilt;
     }
 
     @Override
@@ -178,10 +242,11 @@
         byte[] bytes = new byte[content.remaining()];
         content.get(bytes);
         HttpPool.Exchange current = exchange;
-        if (current == null || !current.streamed(status, bytes)) {
+        if (current != null && !current.streamed(status, bytes)) {
             body.writeBytes(bytes);
+            spoilt |= body.size() > current.most();
         }
-        return false;
+        return spoilt;
     }
 
     @Override
@@ -197,11 +262,11 @@
 
     @Override
     public void earlyEOF() {
-        lost();
+        keep = false; // the end of the input says the same
     }
 
     @Override
     public void badMessage(HttpException failure) {
-        lost();
+        spoilt = true;
     }
 }
--- a/src/main/java/juniperusher/net/HttpPool.java
+++ b/src/main/java/juniperusher/net/HttpPool.java
@@ -18,13 +18,22 @@
  * reset. Nothing is ever sent again here.
  */
 public final class HttpPool {
+    private static final long MOST_ANSWER = 256 * 1024; // bytes; bodies hold 64 KiB at most, this allows more
+
     private final Network network;
     private final long idleNanos;
-    private final Map<InetSocketAddress, Deque<HttpClientConnection>> idle = new HashMap<>();
+    private final int mostIdle;
+    private final Map<Peer, Deque<HttpClientConnection>> idle = new HashMap<>();
+    private int idleCount;
+
+    /** Who a connection leads to: an address alone may pass from one endpoint to the next. */
+    private record Peer(InetSocketAddress address, int owner) {
+    }
 
-    /** Keeps idle connections for {@code idleSeconds} at most. */
-    public HttpPool(Network network, double idleSeconds) {
+    /** Keeps idle connections for {@code idleSeconds}, and {@code mostIdle} of them, at most. */
+    public HttpPool(Network network, double idleSeconds, int mostIdle) {
         this.network = network;
+        this.mostIdle = mostIdle;
         idleNanos = (long) (idleSeconds * 1e9);
         sweep();
     }
@@ -34,8 +43,16 @@
         /** The whole answer is there. */
         void answered(HttpMessage response);
 
-        /** The exchange ended without one. */
-        void ended(CallEnd why);
+        /**
+         * The exchange ended without one; {@code firstLine} is the status that its first line still said, or
+         * 0 if none came.
+         */
+        void ended(CallEnd why, int firstLine);
+
+        /** Bytes that an answer's content may have; a longer one is spoilt. */
+        default long most() {
+            return MOST_ANSWER;
+        }
 
         /** Content of an answer that is taken piece by piece; true if so. */
         default boolean streamed(int status, byte[] piece) {
@@ -43,11 +60,24 @@
         }
     }
 
-    /** Starts an exchange; {@code mayStart} is asked just before the first byte leaves. */
+    /** The same as below, where the address says who is there. */
     public Exchange exchange(InetSocketAddress address, HttpMessage request, BooleanSupplier mayStart,
             Listener listener) {
-        Exchange exchange = new Exchange(address, request.bytes(), mayStart, listener);
-        HttpClientConnection kept = take(address);
+        return exchange(address, 0, request, mayStart, listener);
+    }
+
+    /**
+     * Starts an exchange; {@code mayStart} is asked just before the first byte leaves. Only connections made
+     * for the same {@code owner} of the address are used again.
+     */
+    public Exchange exchange(InetSocketAddress address, int owner, HttpMessage request,
+            BooleanSupplier mayStart, Listener listener) {
+        Exchange exchange = new Exchange(new Peer(address, owner), request.bytes(), mayStart, listener);
+        HttpClientConnection kept = take(exchange.peer);
+        while (kept != null && !kept.quiet()) {
+            kept.close();
+            kept = take(exchange.peer);
+        }
         if (kept != null) {
             exchange.connected(kept);
         } else if (!mayStart.getAsBoolean()) {
@@ -58,11 +88,12 @@
         return exchange;
     }
 
-    private HttpClientConnection take(InetSocketAddress address) {
+    private HttpClientConnection take(Peer peer) {
         synchronized (idle) {
-            Deque<HttpClientConnection> kept = idle.get(address);
+            Deque<HttpClientConnection> kept = idle.get(peer);
             while (kept != null && !kept.isEmpty()) {
                 HttpClientConnection connection = kept.pollFirst();
+                idleCount--;
                 if (connection.usable() && System.nanoTime() - connection.idleSince() < idleNanos) {
                     return connection;
                 }
@@ -72,30 +103,49 @@
         }
     }
 
-    private void keep(InetSocketAddress address, HttpClientConnection connection) {
+    private void keep(Peer peer, HttpClientConnection connection) {
         connection.idleFrom(System.nanoTime());
+        HttpClientConnection out = null;
         synchronized (idle) {
             if (connection.usable()) {
-                idle.computeIfAbsent(address, key -> new ArrayDeque<>()).addFirst(connection);
+                idle.computeIfAbsent(peer, key -> new ArrayDeque<>()).addFirst(connection);
+                out = ++idleCount > mostIdle ? oldest() : null;
             }
         }
+        if (out != null) {
+            out.close();
+        }
+    }
+
+    /** Guards descriptors: takes out the connection that has been idle longest. */
+    private HttpClientConnection oldest() {
+        Deque<HttpClientConnection> in = null;
+        for (Deque<HttpClientConnection> kept : idle.values()) {
+            if (!kept.isEmpty() && (in == null
+                    || kept.peekLast().idleSince() - in.peekLast().idleSince() < 0)) {
+                in = kept;
+            }
+        }
+        idleCount--;
+        return in.pollLast();
     }
 
     void unused(Exchange exchange, HttpClientConnection connection) {
-        keep(exchange.address, connection);
+        keep(exchange.peer, connection);
     }
 
     void gone(HttpClientConnection connection) {
         synchronized (idle) {
-            idle.values().forEach(kept -> kept.remove(connection));
+            idle.values().forEach(kept -> idleCount -= kept.remove(connection) ? 1 : 0);
         }
     }
 
-    /** Closes the idle connections to an address. */
-    public void closeIdle(InetSocketAddress address) {
+    /** Closes the idle connections to the owner of an address. */
+    public void closeIdle(InetSocketAddress address, int owner) {
         Deque<HttpClientConnection> kept;
         synchronized (idle) {
-            kept = idle.remove(address);
+            kept = idle.remove(new Peer(address, owner));
+            idleCount -= kept == null ? 0 : kept.size();
         }
         if (kept != null) {
             kept.forEach(HttpClientConnection::close);
@@ -108,6 +158,7 @@
             long now = System.nanoTime();
             idle.values().forEach(kept -> kept.removeIf(connection ->
                     now - connection.idleSince() >= idleNanos && old.add(connection)));
+            idleCount -= old.size();
             idle.values().removeIf(Deque::isEmpty);
         }
         old.forEach(HttpClientConnection::close);
@@ -116,17 +167,18 @@
 
     /** One exchange. */
     public final class Exchange implements Network.Dial {
-        private final InetSocketAddress address;
+        private final Peer peer;
         private final ByteBuffer request;
         private final BooleanSupplier mayStart;
         private final Listener listener;
         private HttpClientConnection connection;
         private boolean mayBeWhole;
         private boolean over;
+        private volatile int firstLine;
 
-        private Exchange(InetSocketAddress address, ByteBuffer request, BooleanSupplier mayStart,
+        private Exchange(Peer peer, ByteBuffer request, BooleanSupplier mayStart,
                 Listener listener) {
-            this.address = address;
+            this.peer = peer;
             this.request = request;
             this.mayStart = mayStart;
             this.listener = listener;
@@ -139,7 +191,7 @@
 
         private void connected(HttpClientConnection to) {
             if (!mayStart.getAsBoolean()) {
-                keep(address, to);
+                keep(peer, to);
                 ended(CallEnd.HELD_BACK);
             } else {
                 to.start(this, request);
@@ -162,13 +214,25 @@
             mayBeWhole = false;
         }
 
+        void firstLine(int status) {
+            firstLine = status;
+        }
+
+        long most() {
+            return listener.most();
+        }
+
+        boolean endless() {
+            return listener.most() == Long.MAX_VALUE;
+        }
+
         boolean streamed(int status, byte[] piece) {
             return listener.streamed(status, piece);
         }
 
         void answered(HttpMessage response, HttpClientConnection reusable) {
             if (reusable != null) {
-                keep(address, reusable);
+                keep(peer, reusable);
             }
             synchronized (this) {
                 if (over) {
@@ -188,7 +252,7 @@
                 over = true;
                 written = mayBeWhole;
             }
-            listener.ended(why.given(written));
+            listener.ended(why.given(written), firstLine);
         }
 
         /** Stops waiting: closes the connection if the request is on it, then reports the end. */
--- a/src/main/java/juniperusher/net/HttpServerConnection.java
+++ b/src/main/java/juniperusher/net/HttpServerConnection.java
@@ -3,6 +3,7 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.eclipse.jetty.http.HttpException;
 import org.eclipse.jetty.http.HttpField;
 import org.eclipse.jetty.http.HttpFields;
@@ -15,13 +16,29 @@
 import org.eclipse.jetty.util.BufferUtil;
 import org.eclipse.jetty.util.Callback;
 
-/** The server's side of an HTTP/1.1 connection: one request at a time, answered before the next is read. */
-public final class HttpServerConnection extends AbstractConnection implements HttpParser.RequestHandler {
+/**
+ * The server's side of an HTTP/1.1 connection: one request at a time, answered before the next is read.
+ * Guards against clients that send what cannot be read, too much, too slowly or nothing: what is read and
+ * held is bounded, and so is the time. A refusal is written before the input has ended, and the rest of the
+ * input is read and dropped, since a close with input unread would reset the refusal away.
+ */
+public final class HttpServerConnection extends AbstractConnection implements HttpParser.RequestHandler,
+        Inbound.Guest {
     private static final int BUFFER = 8 * 1024;
+    private static final int MOST_HEAD = 16 * 1024; // bytes; a longer head is refused
+    private static final long IDLE = 2_000; // ms without a byte, with or without a request begun
+    private static final long KEPT = 8_000; // ms without a byte after an answer, while there is room
+    private static final long REQUEST = 2_500_000_000L; // ns from a request's first byte to its last
+    private static final long LINGER = 3_000_000_000L; // ns for which the rest is dropped after a refusal
+    private static final int TURNS = 16; // reads of dropped input before the others have their turn
+    private static final long DROPPED = 256L << 20; // bytes dropped after a refusal, at most
+    // Where dropped bytes go: shared, since nobody reads them.
+    private static final ByteBuffer DROP = ByteBuffer.allocateDirect(64 * 1024);
 
     private final Handler handler;
+    private final Inbound inbound;
     private final int mostBody;
-    private final HttpParser parser = new HttpParser(this, 16 * 1024);
+    private final HttpParser parser = new HttpParser(this, MOST_HEAD);
     private final ByteBuffer in = BufferUtil.allocate(BUFFER);
     private HttpFields.Mutable fields = HttpFields.build();
     private ByteArrayOutputStream body = new ByteArrayOutputStream();
@@ -29,6 +46,11 @@
     private boolean complete;
     private boolean close;
     private HttpMessage refusal;
+    private long began;
+    private int turns;
+    private long dropping; // bytes dropped plus one, 0 before the refusal
+    private volatile Inbound.Standing standing = Inbound.Standing.MUTE;
+    private volatile long since = System.nanoTime();
 
     /** Answers requests. */
     public interface Handler {
@@ -37,6 +59,10 @@
 
         /** Whether connections should end after their next answer. */
         boolean closing();
+
+        /** What could not be read, or was too much, has been refused with this status. */
+        default void refused(int status) {
+        }
     }
 
     /** Takes the answer to one request. */
@@ -49,20 +75,73 @@
         super(endPoint, network.threads());
         this.handler = handler;
         this.mostBody = mostBody;
+        inbound = network.inbound();
     }
 
     @Override
     public void onOpen() {
         super.onOpen();
-        fillInterested();
+        getEndPoint().setIdleTimeout(IDLE);
+        inbound.add(this);
+        if (getEndPoint().isOpen()) {
+            fillInterested();
+        }
+    }
+
+    @Override
+    public void onClose(Throwable cause) {
+        super.onClose(cause);
+        inbound.remove(this);
+    }
+
+    /** Nothing here waits, so the selector's thread itself reads: no hand-over for each request. */
+    @Override
+    public InvocationType getInvocationType() {
+        return InvocationType.NON_BLOCKING;
+    }
+
+    @Override
+    public Inbound.Standing standing() {
+        return standing;
+    }
+
+    @Override
+    public long since() {
+        return since;
+    }
+
+    @Override
+    public void shed() {
+        close();
+    }
+
+    private void now(Inbound.Standing next) {
+        standing = next;
+        since = System.nanoTime();
+    }
+
+    @Override
+    protected void onFillInterestedFailed(Throwable cause) {
+        if (standing == Inbound.Standing.UNFINISHED && dropping == 0) {
+            if (refuse(HttpMessage.response(408, ""))) {
+                onFillable();
+            }
+        } else {
+            close(); // idle, or the refusal has had its time
+        }
     }
 
     @Override
     public void onFillable() {
         try {
             while (true) {
-                if (!in.hasRemaining()) {
-                    int n = getEndPoint().fill(in);
+                if (dropping > 0 || !in.hasRemaining()) {
+                    ByteBuffer into = in;
+                    if (dropping > 0) {
+                        into = DROP.duplicate();
+                        BufferUtil.clear(into);
+                    }
+                    int n = getEndPoint().fill(into);
                     if (n < 0) {
                         close();
                         return;
@@ -71,17 +150,37 @@
                         fillInterested();
                         return;
                     }
-                }
-                if (parser.parseNext(in) || complete || refusal != null) {
-                    if (refusal != null) {
-                        close = true;
-                        respond(refusal);
-                        return;
+                    if (dropping > 0) {
+                        dropping += n;
+                        if (dropping > DROPPED || System.nanoTime() - began > LINGER) {
+                            close();
+                            return;
+                        }
+                        if (++turns % TURNS == 0) {
+                            fillInterested(); // the others' turn
+                            return;
+                        }
+                        continue;
                     }
-                    if (complete) {
-                        serve();
+                }
+                if (standing != Inbound.Standing.UNFINISHED) {
+                    began = System.nanoTime();
+                    now(Inbound.Standing.UNFINISHED);
+                    getEndPoint().setIdleTimeout(IDLE);
+                }
+                int before = in.remaining();
+                boolean stopped = parser.parseNext(in) || in.remaining() == before;
+                if (refusal == null && complete) {
+                    if (!serve()) {
                         return;
                     }
+                    continue;
+                }
+                if (refusal == null && (stopped || System.nanoTime() - began > REQUEST)) {
+                    refusal = HttpMessage.response(stopped ? 400 : 408, "");
+                }
+                if (refusal != null && !refuse(refusal)) {
+                    return;
                 }
             }
         } catch (IOException | RuntimeException e) {
@@ -89,24 +188,47 @@
         }
     }
 
-    private void serve() {
+    /** Has the request answered; whether that is done already, so that the caller reads on. */
+    private boolean serve() {
         HttpMessage request = new HttpMessage(start, fields.asImmutable(), body.toByteArray());
         complete = false;
         fields = HttpFields.build();
         body = new ByteArrayOutputStream();
-        handler.handle(request, this::respond);
+        now(Inbound.Standing.SERVED);
+        AtomicBoolean turn = new AtomicBoolean();
+        handler.handle(request, response -> respond(response, turn));
+        return !turn.compareAndSet(false, true);
+    }
+
+    private boolean refuse(HttpMessage response) {
+        handler.refused(response.status());
+        refusal = response;
+        fields = HttpFields.build();
+        body = new ByteArrayOutputStream();
+        BufferUtil.clear(in);
+        close = true;
+        AtomicBoolean turn = new AtomicBoolean();
+        respond(response, turn);
+        return !turn.compareAndSet(false, true);
     }
 
-    private void respond(HttpMessage response) {
+    private void respond(HttpMessage response, AtomicBoolean turn) {
         boolean last = close || handler.closing();
         HttpMessage sent = last ? new HttpMessage(response.start(), HttpFields.build(response.fields())
                 .put(HttpHeader.CONNECTION, HttpHeaderValue.CLOSE.asString()), response.body()) : response;
         getEndPoint().write(Callback.from(() -> {
             if (last) {
                 getEndPoint().shutdownOutput();
-                close();
+                dropping = 1;
+                began = System.nanoTime();
+                now(Inbound.Standing.MUTE);
+                getEndPoint().setIdleTimeout(IDLE);
             } else {
                 parser.reset();
+                now(Inbound.Standing.IDLE);
+                getEndPoint().setIdleTimeout(KEPT);
+            }
+            if (!turn.compareAndSet(false, true)) {
                 getExecutor().execute(this::onFillable);
             }
         }, failure -> close()), sent.bytes());
@@ -117,6 +239,7 @@
     @Override
     public void startRequest(String method, String uri, HttpVersion version) {
         start = method + ' ' + uri;
+        close |= version != HttpVersion.HTTP_1_1;
     }
 
     @Override
@@ -127,7 +250,10 @@
 
     @Override
     public boolean headerComplete() {
-        return false;
+        if (parser.getContentLength() > mostBody) {
+            refusal = HttpMessage.response(413, ""); // the length alone condemns it
+        }
+        return refusal != null;
     }
 
     @Override
@@ -155,7 +281,7 @@
 
     @Override
     public void earlyEOF() {
-        close();
+        refusal = HttpMessage.response(400, "");
     }
 
     @Override
--- a/src/main/java/juniperusher/net/Network.java
+++ b/src/main/java/juniperusher/net/Network.java
@@ -8,6 +8,8 @@
 import java.nio.channels.SelectionKey;
 import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Function;
 import org.eclipse.jetty.io.Connection;
 import org.eclipse.jetty.io.EndPoint;
@@ -22,10 +24,19 @@
 /** Jetty's selector, its threads and its timers, for the connections of every front. */
 public final class Network implements AutoCloseable {
     private static final int MOST_THREADS = 24;
+    // Of the descriptors, for connections that come in: clients hold a third at most, the rest is for
+    // bad ones to be turned away on; what remains is for calls, the watch, the journal and the JVM.
+    private static final double INBOUND_SHARE = 0.45;
+    private static final double COMING_SHARE = 0.1; // the same for those that are not yet looked at
+    private static final int LEAST_INBOUND = 16; // connections, whatever the limit says
 
     private final QueuedThreadPool threads = new QueuedThreadPool(MOST_THREADS, 4);
     private final Scheduler scheduler = new ScheduledExecutorScheduler("timers", true);
     private final Selector selector = new Selector();
+    private final Inbound inbound;
+    private final AtomicLong shed = new AtomicLong();
+    private final AtomicInteger coming = new AtomicInteger();
+    private final int mostIn;
 
     /** Someone who wants a connection: makes its object once it is up, or hears why it is not. */
     public interface Dial {
@@ -36,10 +47,19 @@
         void failed(Throwable why);
     }
 
+    /** A network within the descriptors that a machine has by default, see the other constructor. */
+    public Network(double connectTimeout) throws Exception {
+        this(connectTimeout, 1024);
+    }
+
     /**
-     * A network whose connections count as failed if they are not up within {@code connectTimeout} seconds.
+     * A network whose connections count as failed if they are not up within {@code connectTimeout} seconds,
+     * for a process that may hold so many descriptors.
      */
-    public Network(double connectTimeout) throws Exception {
+    public Network(double connectTimeout, int descriptors) throws Exception {
+        int most = Math.max(LEAST_INBOUND, (int) (descriptors * INBOUND_SHARE));
+        inbound = new Inbound(most, shed::incrementAndGet);
+        mostIn = most + Math.max(LEAST_INBOUND, (int) (descriptors * COMING_SHARE));
         threads.setName("net");
         threads.setDaemon(true);
         threads.setReservedThreads(1);
@@ -87,6 +107,16 @@
         }
     }
 
+    /** The connections that came in. */
+    public Inbound inbound() {
+        return inbound;
+    }
+
+    /** How many of them were closed for want of room. */
+    public long shed() {
+        return shed.get();
+    }
+
     /** Timers. */
     public Scheduler scheduler() {
         return scheduler;
@@ -120,6 +150,13 @@
         @Override
         protected void accepted(SelectableChannel channel) throws IOException {
             SocketChannel socket = (SocketChannel) channel;
+            // Guards against running out of descriptors: those that come at once all wait here to be opened.
+            if (inbound.size() + coming.incrementAndGet() > mostIn) {
+                coming.decrementAndGet();
+                shed.incrementAndGet();
+                socket.close();
+                return;
+            }
             socket.configureBlocking(false);
             socket.setOption(StandardSocketOptions.TCP_NODELAY, true);
             int port = ((InetSocketAddress) socket.getLocalAddress()).getPort();
@@ -131,6 +168,7 @@
                     return;
                 }
             }
+            coming.decrementAndGet();
             socket.close();
         }
 
@@ -142,8 +180,11 @@
         @Override
         @SuppressWarnings("unchecked")
         public Connection newConnection(SelectableChannel channel, EndPoint endPoint, Object attachment) {
-            return attachment instanceof Dial dial ? dial.connected(endPoint)
-                    : ((Function<EndPoint, Connection>) attachment).apply(endPoint);
+            if (attachment instanceof Dial dial) {
+                return dial.connected(endPoint);
+            }
+            coming.decrementAndGet();
+            return ((Function<EndPoint, Connection>) attachment).apply(endPoint);
         }
 
         @Override
--- a/src/test/java/juniperusher/core/CallsTest.java
+++ b/src/test/java/juniperusher/core/CallsTest.java
@@ -11,6 +11,9 @@
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import juniperusher.Protocol.Phase;
 import juniperusher.Protocol.Target;
@@ -25,6 +28,8 @@
 
     private final List<Subchannels.Results> out = new ArrayList<>();
     private final List<CallEnd> abandoned = new ArrayList<>();
+    private final ScheduledExecutorService timers = Executors.newSingleThreadScheduledExecutor();
+    private final List<CallResult> heard = new CopyOnWriteArrayList<>();
     private Relay relay;
     private boolean cleared;
 
@@ -58,6 +63,7 @@
     public void fresh() throws Exception {
         out.clear();
         abandoned.clear();
+        heard.clear();
         var folder = Files.createTempDirectory("calls");
         String json = Files.readString(java.nio.file.Path.of("src/main/resources/selftest.json"))
                 .replace("\"listen\": \"\"", "\"listen\": \"127.0.0.1:1\"")
@@ -72,14 +78,12 @@
                 System.currentTimeMillis() + left, "", false, new byte[0]), 0, relay);
     }
 
+    private SharedCall shared() {
+        return new SharedCall(TARGET, stuck, () -> true, timers, heard::add);
+    }
+
     private static CompletableFuture<CallResult> join(SharedCall call, Rpc rpc) {
-        return CompletableFuture.supplyAsync(() -> {
-            try {
-                return call.await(rpc);
-            } catch (InterruptedException e) {
-                throw new IllegalStateException(e);
-            }
-        }, task -> new Thread(task).start());
+        return call.join(rpc);
     }
 
     @Test
@@ -97,6 +101,9 @@
             assertEquals(cut.given(true), cut);
         }
         assertEquals(CallEnd.FAILED.given(false), CallEnd.FAILED, "an answer outranks what was written");
+        assertEquals(CallEnd.SPOILT.afterFirstLine(200, 1), CallEnd.DELIVERED, "that much was said");
+        assertEquals(CallEnd.SPOILT.afterFirstLine(200, 2), CallEnd.SPOILT, "which of the two is unknown");
+        assertEquals(CallEnd.BROKEN.afterFirstLine(500, 1), CallEnd.BROKEN);
     }
 
     @Test
@@ -112,6 +119,14 @@
         assertTrue(guards.mayCall(5, 7), "the wait is over");
     }
 
+    @Test
+    public void aWaitWithoutEndIsKept() {
+        Guards guards = new Guards();
+        guards.learn(new TargetList(true, List.of(TARGET)));
+        guards.wait(7, 1e300);
+        assertFalse(guards.mayCall(5, 7), "the clock's nanoseconds have run over");
+    }
+
     @Test
     public void nothingGoesToAnEndpointThatDrainsOrIsGoneOrIsOfAnotherDestination() {
         Guards guards = new Guards();
@@ -130,7 +145,7 @@
 
     @Test
     public void aSharedCallStartsWhenAllHaveJoinedAndEachHasItsOwnResult() throws Exception {
-        SharedCall call = new SharedCall(TARGET, stuck, () -> true);
+        SharedCall call = shared();
         Rpc one = rpc(1, 0, 5_000);
         Rpc two = rpc(2, 1, 5_000);
         call.add(one, 4);
@@ -148,11 +163,12 @@
         assertEquals(first.get(1, TimeUnit.SECONDS).end(), CallEnd.DELIVERED);
         assertEquals(second.get(1, TimeUnit.SECONDS).end(), CallEnd.FAILED);
         assertEquals(abandoned, List.of());
+        assertEquals(heard.size(), 2, "a told wait has to be heard before the RPCs go on");
     }
 
     @Test
     public void anRpcStaysWithItsCallWhileTheCallIsOutForAnother() throws Exception {
-        SharedCall call = new SharedCall(TARGET, stuck, () -> true);
+        SharedCall call = shared();
         Rpc hasty = rpc(1, 0, 5_000);
         Rpc patient = rpc(2, 1, 5_000);
         call.add(hasty, 0.05);
@@ -168,7 +184,7 @@
 
     @Test
     public void callingOffOneOfTwoLeavesTheCallOut() throws Exception {
-        SharedCall call = new SharedCall(TARGET, stuck, () -> true);
+        SharedCall call = shared();
         Rpc one = rpc(1, 0, 5_000);
         Rpc two = rpc(2, 0, 5_000);
         call.add(one, 4);
