--- a/src/main/java/juniperusher/Control.java
+++ b/src/main/java/juniperusher/Control.java
@@ -61,6 +61,7 @@
     private static final double ANSWER_MARGIN = 0.01; // s, answers come so long before the deadline
     private static final double IDLE_MEMORY = 30.0; // s after a failure in which idle connections are closed
     private static final double RARE = 0.5; // messages/s, an idle connection is hardly used again
+    private static final double GONE_MEMORY = 5.0; // s, a target that is gone so long is forgotten
     private static final double NEVER = Double.POSITIVE_INFINITY;
 
     private final Settings settings;
@@ -591,8 +592,12 @@
     }
 
     private boolean silent(Gate gate) {
-        long overdue = gate.calls.isEmpty() ? 0 : gate.calls.stream().filter(call ->
-                call.at < now - gate.silence() && call.at > gate.lastOk()).count();
+        double from = gate.calls.isEmpty() ? NEVER : gate.lastOk();
+        double until = gate.calls.isEmpty() ? -NEVER : now - gate.silence();
+        int overdue = 0;
+        for (Call call : gate.calls) {
+            overdue += call.at < until && call.at > from ? 1 : 0;
+        }
         return overdue > 1 || overdue == 1 && gate.bad > 0;
     }
 
@@ -726,6 +731,7 @@
         if (event.whole()) {
             targets.values().forEach(target -> target.info = target.info.gone());
         }
+        forget();
         for (Target info : event.targets()) {
             TargetState known = targets.get(info.id());
             if (known != null) {
@@ -733,21 +739,36 @@
             } else if (info.phase() != Phase.GONE) {
                 known = new TargetState(info, settings.kinds().get(info.kind()));
                 Destination destination = destinations.computeIfAbsent(info.destination(), Destination::new);
-                known.gate = known.apart || destination.targets.isEmpty()
-                        ? new Gate(destination, known.apart ? info : null) : destination.targets.get(0).gate;
+                destination.shared = destination.shared == null ? new Gate(destination, null)
+                        : destination.shared;
+                known.gate = known.apart ? new Gate(destination, info) : destination.shared;
                 known.gate.targets.add(known);
                 destination.targets.add(known);
                 targets.put(info.id(), known);
             } else {
                 continue;
             }
-            if (settings.weight() != Weight.NONE) {
+            if (settings.weight() != Weight.NONE && info.phase() != Phase.GONE) {
                 known.gate.listed = info.weight();
                 known.gate.known = known.gate.reported ? known.gate.known : info.weight();
             }
         }
     }
 
+    /** Guards against lists that only grow: drops what is long gone; a probe out has ended by then. */
+    private void forget() {
+        targets.values().forEach(target -> target.readyAt =
+                target.info.phase() == Phase.READY || target.calls > 0 ? now : target.readyAt);
+        targets.values().removeIf(target -> target.info.phase() == Phase.GONE
+                && target.readyAt < now - GONE_MEMORY && target.gate.targets.remove(target)
+                && target.gate.destination.targets.remove(target));
+    }
+
+    /** How many targets it remembers. */
+    int remembered() {
+        return targets.size();
+    }
+
     /** Opens the watch on the list at the start and again, after a pause, when it failed. */
     private void followList() {
         if (settings.askForList() && (!started || askAt <= now)) {
@@ -821,6 +842,7 @@
     private static final class Destination {
         final int id;
         final List<TargetState> targets = new ArrayList<>();
+        Gate shared; // where routes are not apart; outlives its targets, as waits and paces do
         int held, taken;
 
         Destination(int id) {
@@ -828,13 +850,20 @@
         }
 
         double usual() {
-            return targets.stream().mapToDouble(TargetState::usual).average().orElse(FIRST_GUESS);
+            double sum = 0; // asked for each message in each round: no streams here and below
+            for (TargetState target : targets) {
+                sum += target.usual();
+            }
+            return targets.isEmpty() ? FIRST_GUESS : sum / targets.size();
         }
 
         /** The end of the told wait that holds all usable targets. */
         double toldUntil() {
-            return targets.stream().filter(target -> target.info.phase() == Phase.READY)
-                    .mapToDouble(target -> target.gate.toldUntil).min().orElse(0);
+            double until = NEVER;
+            for (TargetState target : targets) {
+                until = target.info.phase() == Phase.READY ? Math.min(until, target.gate.toldUntil) : until;
+            }
+            return until == NEVER ? 0 : until;
         }
     }
 
@@ -846,6 +875,7 @@
         double cap = NEVER;
         double lastOk = Double.NEGATIVE_INFINITY;
         double lastUse = Double.NEGATIVE_INFINITY;
+        double readyAt = Double.NEGATIVE_INFINITY; // last seen listed or with a call out
         Gate gate;
         Target info;
         int calls;
@@ -901,7 +931,11 @@
         }
 
         double lastOk() {
-            return targets.stream().mapToDouble(target -> target.lastOk).max().orElse(-NEVER);
+            double last = -NEVER;
+            for (TargetState target : targets) {
+                last = Math.max(last, target.lastOk);
+            }
+            return last;
         }
 
         double oldest() {
@@ -909,8 +943,11 @@
         }
 
         double silence() {
-            return Math.max(LEAST_SILENCE, targets.stream().mapToDouble(target ->
-                    target.srtt + SILENCE_DEVIATIONS * target.deviation).max().orElse(0));
+            double longest = LEAST_SILENCE;
+            for (TargetState target : targets) {
+                longest = Math.max(longest, target.srtt + SILENCE_DEVIATIONS * target.deviation);
+            }
+            return longest;
         }
     }
 
--- a/src/main/java/juniperusher/cli/Main.java
+++ b/src/main/java/juniperusher/cli/Main.java
@@ -19,13 +19,17 @@
 import juniperusher.core.Journal;
 import juniperusher.http.Config;
 import juniperusher.http.Platform;
+import juniperusher.http.WarmUp;
 import juniperusher.net.Network;
 import juniperusher.sim.SimHost;
 import juniperusher.sim.WireException;
+import org.slf4j.LoggerFactory;
 import sun.misc.Signal;
 
 /** The command line. */
 public final class Main {
+    private static final long WARM_UP = 2_000; // ms before the first start, at most
+
     private Main() {
     }
 
@@ -107,13 +111,16 @@
             Signal.handle(new Signal("HUP"), signal -> hangups.release());
             Path file = Path.of(variable("RELAY_CONFIG"));
             Config config = Config.read(file);
+            Path state = Path.of(variable("RELAY_STATE"));
+            WarmUp.run(config, state, WARM_UP);
             Counters counters = new Counters();
             Network network = new Network(config.settings().settings().allowed().connectTimeout(),
                     config.descriptors());
             Extension extension = amqp == null ? null : new AmqpExtension(AmqpConfig.read(Path.of(amqp)),
                     config.classes(), config.settings().settings(), network);
-            Platform platform = new Platform(config, Path.of(variable("RELAY_STATE")), counters, network,
+            Platform platform = new Platform(config, state, counters, network,
                     extension);
+            LoggerFactory.getLogger(Main.class).info("serving on {}", config.listen());
             if (remoteWrite != null) {
                 new RemoteWrite(remoteWrite, config.name(), Math.max(1, every) * 1000L, counters::text,
                         network)
--- a/src/main/java/juniperusher/core/DecisionLoop.java
+++ b/src/main/java/juniperusher/core/DecisionLoop.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 import juniperusher.Control;
 import juniperusher.Protocol.Action;
 import juniperusher.Protocol.Event;
@@ -26,7 +27,7 @@
     private final long gap;
     private final Executor executor;
     private final long origin = System.nanoTime();
-    private final BlockingQueue<Event> queue = new LinkedBlockingQueue<>();
+    private final BlockingQueue<Supplier<Event>> queue = new LinkedBlockingQueue<>();
     private final PriorityQueue<WakeAt> wakes = new PriorityQueue<>((a, b) -> Double.compare(a.time(),
             b.time()));
 
@@ -44,6 +45,11 @@
     }
 
     void post(Event event) {
+        queue.add(() -> event);
+    }
+
+    /** Posts an event that is made when the round takes it, for what it says of the time that is left. */
+    void postLate(Supplier<Event> event) {
         queue.add(event);
     }
 
@@ -53,7 +59,7 @@
      */
     void stop() {
         stopped = true;
-        queue.add(new Woken(-1));
+        queue.add(() -> new Woken(-1));
     }
 
     private double now() {
@@ -76,16 +82,18 @@
     }
 
     private void round() throws InterruptedException {
-        List<Event> events = new ArrayList<>();
+        List<Supplier<Event>> taken = new ArrayList<>();
         WakeAt next = wakes.peek();
-        Event first = next == null ? queue.take()
+        Supplier<Event> first = next == null ? queue.take()
                 : queue.poll((long) (Math.max(0, next.time() - now()) * 1e9) + 1, TimeUnit.NANOSECONDS);
         long started = System.nanoTime();
         if (first != null) {
-            events.add(first);
+            taken.add(first);
         }
-        queue.drainTo(events);
+        queue.drainTo(taken);
         double now = now();
+        List<Event> events = new ArrayList<>();
+        taken.forEach(event -> events.add(event.get()));
         while (!wakes.isEmpty() && wakes.peek().time() <= now) {
             events.add(new Woken(wakes.poll().token()));
         }
--- a/src/main/java/juniperusher/core/Journal.java
+++ b/src/main/java/juniperusher/core/Journal.java
@@ -123,6 +123,15 @@
         return recovered;
     }
 
+    /** Closes the open segment. */
+    public synchronized void close() {
+        try {
+            segment.close();
+        } catch (IOException e) {
+            LOG.debug("journal: {}", e.toString());
+        }
+    }
+
     /** Bytes in the folder. */
     public synchronized long bytes() {
         return used;
--- a/src/main/java/juniperusher/core/Relay.java
+++ b/src/main/java/juniperusher/core/Relay.java
@@ -178,8 +178,9 @@
 
     void arrived(Rpc rpc, int attemptsUsed) {
         RpcRequest request = rpc.request();
-        loop.post(new Arrived(new Message(rpc.number(), request.messageClass(), 0, request.destination(), 0L,
-                Math.max(0, rpc.timeLeft()), attemptsUsed)));
+        // Guards the final answer's time: what waits for a round, while the core is busy, has less left.
+        loop.postLate(() -> new Arrived(new Message(rpc.number(), request.messageClass(), 0,
+                request.destination(), 0L, Math.max(0, rpc.timeLeft()), attemptsUsed)));
     }
 
     // ---- what the module is told ----
@@ -319,6 +320,11 @@
         timers.shutdownNow();
     }
 
+    /** Closes the journal; only once no connection can bring an end any more. */
+    public void closeJournal() {
+        journal.close();
+    }
+
     Journal journal() {
         return journal;
     }
--- a/src/main/java/juniperusher/http/Config.java
+++ b/src/main/java/juniperusher/http/Config.java
@@ -82,6 +82,12 @@
                 newer.peers, newer.peersAll, known, settings, classes, kinds, zones, gap);
     }
 
+    /** This configuration without relays to send notes to. */
+    Config alone() {
+        return new Config(name, listen, discovery, seed, diskBytes, descriptors, null, List.of(), null, known,
+                settings, classes, kinds, zones, gap);
+    }
+
     private static List<String> names(JsonValue value) {
         List<String> out = new ArrayList<>();
         if (value != null && value.isArray()) {
--- a/src/main/java/juniperusher/http/Platform.java
+++ b/src/main/java/juniperusher/http/Platform.java
@@ -71,7 +71,6 @@
         if (extension != null) {
             extension.open();
         }
-        LOG.info("serving on {}", first.listen());
     }
 
     /** A whole list names the extension's endpoints as well: what it leaves out is gone. */
@@ -127,5 +126,6 @@
         peers.close();
         relay.close();
         network.close();
+        relay.closeJournal();
     }
 }
--- a/src/main/java/juniperusher/http/PlatformFront.java
+++ b/src/main/java/juniperusher/http/PlatformFront.java
@@ -2,6 +2,8 @@
 
 import java.io.Closeable;
 import java.io.IOException;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import juniperusher.core.Channel;
 import juniperusher.core.Counters;
 import juniperusher.core.Front;
@@ -18,6 +20,11 @@
  * The platform's front: channels hand RPCs in over HTTP/1.1, ends that are not deliveries go out as notices.
  */
 final class PlatformFront implements Front, HttpServerConnection.Handler {
+    private static final Pattern PATH = Pattern.compile("(?:https?://[^/]*)?/([^/?]*)");
+    private static final Pattern PARTS = Pattern.compile("[,;]");
+    private static final Pattern NUMBER = Pattern.compile("\\d{1,9}");
+    private static final Pattern BUDGET = Pattern.compile("\\d{1,12}(\\.\\d{1,6})?[mu]");
+    private static final long UNREAD = 100; // ms for which a request may have waited to be read
     private static final int MOST_BODY = 64 * 1024;
 
     private final Config config;
@@ -119,21 +126,23 @@
         if (place < 0) {
             throw new IllegalArgumentException("X-Call-Class is unknown");
         }
-        String path = request.path().replaceFirst("^(https?://[^/]*)?/", "");
-        if (!path.split("[/?]", 2)[0].equals(messageClass)) {
+        Matcher path = PATH.matcher(request.path());
+        if (!path.lookingAt() || !path.group(1).equals(messageClass)) {
             throw new IllegalArgumentException("the path does not begin with the class");
         }
         double most = config.settings().settings().classes().get(place).deadline() * 1000;
         long budget = Math.min(budget(request.get("X-Budget")), (long) most);
+        // Guards the end of the RPC's time, which counts from the client's sending: it may have waited here.
+        budget -= Math.min(UNREAD, budget / 10);
         return new RpcRequest(id, name(), place, destination(request.get("X-Envelope")),
                 System.currentTimeMillis() + budget, "", false, request.body());
     }
 
     private static int destination(String envelope) {
-        for (String part : envelope == null ? new String[0] : envelope.split("[,;]")) {
+        for (String part : envelope == null ? new String[0] : PARTS.split(envelope)) {
             if (part.strip().startsWith("dest=")) {
                 String number = part.strip().substring("dest=".length());
-                if (number.matches("\\d{1,9}")) {
+                if (NUMBER.matcher(number).matches()) {
                     return Integer.parseInt(number);
                 }
             }
@@ -143,7 +152,7 @@
 
     /** Milliseconds of a budget such as 480m or 480000u. */
     static long budget(String text) {
-        if (text == null || !text.matches("\\d{1,12}(\\.\\d{1,6})?[mu]")) {
+        if (text == null || !BUDGET.matcher(text).matches()) {
             throw new IllegalArgumentException("X-Budget is missing or unreadable");
         }
         double number = Double.parseDouble(text.substring(0, text.length() - 1));
--- a/src/main/java/juniperusher/net/Network.java
+++ b/src/main/java/juniperusher/net/Network.java
@@ -22,8 +22,8 @@
 import org.eclipse.jetty.util.thread.Scheduler;
 
 /** Jetty's selector, its threads and its timers, for the connections of every front. */
-public final class Network implements AutoCloseable {
-    private static final int MOST_THREADS = 24;
+public class Network implements AutoCloseable {
+    private static final int MOST_THREADS = 8; // reading is the selector's own work: few hand-overs are left
     // Of the descriptors, for connections that come in: clients hold a third at most, the rest is for
     // bad ones to be turned away on; what remains is for calls, the watch, the journal and the JVM.
     private static final double INBOUND_SHARE = 0.45;
--- a/src/test/java/juniperusher/ControlTest.java
+++ b/src/test/java/juniperusher/ControlTest.java
@@ -129,6 +129,26 @@
         assertEquals(List.of(1), sent(s.until(3.1)));
     }
 
+    @Test
+    void targetsLongGoneAreForgottenButTheirDestinationsWaitIsNot() {
+        Script s = plain();
+        for (int id = 2; id < 50; id++) {
+            s.until(s.now + 1);
+            s.play(new TargetList(false, List.of(target(id - 1, 9, PLAIN, 0).gone(),
+                    target(id, 9, PLAIN, 0))));
+        }
+        assertTrue(s.control.remembered() < 10, "remembers " + s.control.remembered());
+        s.play(message(1, SAFE_CLASS, 9));
+        s.end(1, Outcome.FULL, 15, null);
+        double told = s.now;
+        s.play(new TargetList(false, List.of(target(49, 9, PLAIN, 0).gone())));
+        s.until(told + 7);
+        s.play(new TargetList(false, List.of(target(50, 9, PLAIN, 0))));
+        s.play(new TargetList(false, List.of(target(50, 9, PLAIN, 0))));
+        assertEquals(List.of(), s.play(message(2, SAFE_CLASS, 9)));
+        assertEquals(List.of(2), sent(s.until(told + 18))); // the trial after so long a wait
+    }
+
     @Test
     void aToldWaitBindsOnlyTheRouteWhereRoutesAreApart() {
         Script s = new Script(Script.settings(), target(1, 9, APART, 0), target(2, 9, APART, 0));
--- a/src/test/java/juniperusher/core/CallsTest.java
+++ b/src/test/java/juniperusher/core/CallsTest.java
@@ -59,18 +59,22 @@
         }
     };
 
+    static java.nio.file.Path config() throws java.io.IOException {
+        var folder = Files.createTempDirectory("calls");
+        String json = Files.readString(java.nio.file.Path.of("src/main/resources/selftest.json"))
+                .replace("\"listen\": \"\"", "\"listen\": \"127.0.0.1:1\"")
+                .replace("\"discovery\": \"\"", "\"discovery\": \"127.0.0.1:1\"");
+        return Files.writeString(folder.resolve("c.json"), json);
+    }
+
     @BeforeMethod
     public void fresh() throws Exception {
         out.clear();
         abandoned.clear();
         heard.clear();
-        var folder = Files.createTempDirectory("calls");
-        String json = Files.readString(java.nio.file.Path.of("src/main/resources/selftest.json"))
-                .replace("\"listen\": \"\"", "\"listen\": \"127.0.0.1:1\"")
-                .replace("\"discovery\": \"\"", "\"discovery\": \"127.0.0.1:1\"");
-        Files.writeString(folder.resolve("c.json"), json);
-        relay = new Relay(Config.read(folder.resolve("c.json")).settings().settings(), 1, 0.005,
-                folder.resolve("state"), 3 << 20, new Counters(), stuck, (to, note) -> { });
+        var file = config();
+        relay = new Relay(Config.read(file).settings().settings(), 1, 0.005,
+                file.resolveSibling("state"), 3 << 20, new Counters(), stuck, (to, note) -> { });
     }
 
     private Rpc rpc(int number, int messageClass, long left) {
