--- a/src/main/java/juniperusher/http/Notices.java
+++ b/src/main/java/juniperusher/http/Notices.java
@@ -22,7 +22,7 @@
     private static final Logger LOG = LoggerFactory.getLogger(Notices.class);
     private static final int MOST = 100; // lines in one notice, well below the limit of a body
     private static final long AGAIN = 50; // ms
-    private static final long PATIENCE = 200; // ms for what is answered at once; a notice is due within 300 ms
+    private static final long PATIENCE = 200; // ms for what comes at once; a notice is due within 300 ms
 
     private final Supplier<InetSocketAddress> platform;
     private final HttpPool pool;
