The pace returns to the reported share once reports show that the limit is back

Checked: the module's state each second. Destination 0 reported 124 to 147 calls a second again, most of it left, but its pace, cut to 9 while the limit was down to 11, climbed by 0.05 a success (Control.judge set known and nothing else). Ruled out: slots, breakers, slow start, the relay's CPU. Changed: a report on a call sent 0.8 s after the last cut, with a quarter of the limit left, raises the pace to this relay's share.

--- a/src/main/java/juniperusher/Control.java
+++ b/src/main/java/juniperusher/Control.java
@@ -50,6 +50,8 @@
     private static final double PACE_CLIMB = 0.05; // calls/s gained by each success, and
     private static final double SPELL = 4.0; // s without refusals make a spell; then the gain is
     private static final double SPELL_CLIMB = 4.0; // times as much, to exceed the pace again
+    private static final double REPORT_AGE = 0.8; // s, a report may be as old as refresh and delay together
+    private static final double LEAST_LEFT = 0.25; // share of a limit that is left where others use little
     private static final double BURST = 0.3; // s of a rate that may go at once
     private static final double RATE_SPAN = 10.0; // s over which success rates are taken
     private static final double BULKHEAD = 0.6; // share of the slots that one destination may hold
@@ -486,6 +488,10 @@
         if (e.report() != null) {
             gate.reported = true;
             gate.known = e.report().limit();
+            // Guards against a pace that lags behind a limit that is back: others leave room for this share.
+            if (call.at > gate.pace.cutAt + REPORT_AGE && e.report().left() > LEAST_LEFT) {
+                gate.pace.raise(now, gate.known / settings.senders());
+            }
         }
         switch (e.outcome()) {
             case DELIVERED -> {
@@ -1019,6 +1025,13 @@
             cutAt = now;
         }
 
+        void raise(double now, double share) {
+            if (rate < share) {
+                refill(now);
+                rate = share;
+            }
+        }
+
         void succeeded(double now) {
             if (rate < NEVER) {
                 refill(now);
--- a/src/test/java/juniperusher/ControlTest.java
+++ b/src/test/java/juniperusher/ControlTest.java
@@ -129,6 +129,27 @@
         assertEquals(List.of(1), sent(s.until(3.1)));
     }
 
+    @Test
+    void thePaceReturnsToTheReportedShareOnceTheLimitIsBack() {
+        assertEquals(1, sentIn(new Report(400, 0.1)), "others use the limit up");
+        assertTrue(sentIn(new Report(400, 0.9)) > 10, "most of the limit is left");
+    }
+
+    /** How many of 40 messages go in a tenth of a second after a cut and, 2 s later, a report. */
+    private static int sentIn(Report report) {
+        Script s = plain();
+        s.play(message(1, SAFE_CLASS, 9));
+        s.end(1, Outcome.FULL);
+        assertEquals(List.of(1), sent(s.until(2)));
+        s.end(1, Outcome.DELIVERED, 0, report);
+        s.until(4);
+        int sent = 0;
+        for (int id = 2; id < 42; id++) {
+            sent += sends(s.play(message(id, SAFE_CLASS, 9))).size();
+        }
+        return sent;
+    }
+
     @Test
     void targetsLongGoneAreForgottenButTheirDestinationsWaitIsNot() {
         Script s = plain();
