Answers that have come are read before a send, so that a told wait is seen in time

Cause: the answer lay in the socket while the decision loop sent, as the selector's thread had not had its turn; Guards know a wait only from its reading on. Changed: just before a first byte, HttpSubchannels reads what has come on the connections out to that destination (HttpPool.Exchange.poll), then asks the guards.

--- a/src/main/java/juniperusher/http/HttpSubchannels.java
+++ b/src/main/java/juniperusher/http/HttpSubchannels.java
@@ -11,7 +11,11 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.regex.Pattern;
 import juniperusher.Protocol.Report;
 import juniperusher.Protocol.Target;
@@ -34,6 +38,7 @@
     private final Network network;
     private final Resolver resolver;
     private final Config config;
+    private final Map<Integer, Set<HttpPool.Exchange>> out = new ConcurrentHashMap<>(); // by destination
 
     HttpSubchannels(Config config, HttpPool pool, Network network, Resolver resolver) {
         this.config = config;
@@ -46,10 +51,26 @@
     public Call call(Target subchannel, List<RpcRequest> rpcs, double timeout, Clearance clearance,
             Results results) {
         HttpMessage message = rpcs.size() == 1 ? one(rpcs.get(0), timeout) : many(rpcs, timeout);
-        return pool.exchange(resolver.address(subchannel.id()), subchannel.id(), message, clearance::mayStart,
-                new HttpPool.Listener() {
+        Set<HttpPool.Exchange> others = out.computeIfAbsent(subchannel.destination(), key ->
+                ConcurrentHashMap.newKeySet());
+        AtomicBoolean over = new AtomicBoolean();
+        AtomicReference<HttpPool.Exchange> self = new AtomicReference<>();
+        InetSocketAddress address = resolver.address(subchannel.id());
+        HttpPool.Exchange exchange = pool.exchange(address, subchannel.id(), message, () -> {
+                // Guards told waits while the core is busy: one may have come and not be read yet.
+                others.forEach(HttpPool.Exchange::poll);
+                return clearance.mayStart();
+            }, new HttpPool.Listener() {
+                    private void leave() {
+                        over.set(true);
+                        if (self.get() != null) {
+                            others.remove(self.get());
+                        }
+                    }
+
                     @Override
                     public void answered(HttpMessage response) {
+                        leave();
                         double told = told(response);
                         Report report = report(response);
                         List<CallEnd> ends = ends(response, rpcs);
@@ -60,12 +81,19 @@
 
                     @Override
                     public void ended(CallEnd why, int firstLine) {
+                        leave();
                         CallEnd end = why.afterFirstLine(firstLine, rpcs.size());
                         for (int i = 0; i < rpcs.size(); i++) {
                             results.ended(i, CallResult.of(end));
                         }
                     }
-                })::abandon;
+                });
+        self.set(exchange);
+        others.add(exchange);
+        if (over.get()) {
+            others.remove(exchange);
+        }
+        return exchange::abandon;
     }
 
     private static HttpMessage one(RpcRequest rpc, double timeout) {
--- a/src/main/java/juniperusher/net/HttpClientConnection.java
+++ b/src/main/java/juniperusher/net/HttpClientConnection.java
@@ -108,9 +108,18 @@
 
     @Override
     public void onFillable() {
+        read(true);
+    }
+
+    /** Reads what has come though the selector has not got to it; its interest stays as it is. */
+    void poll() {
+        read(false);
+    }
+
+    private void read(boolean called) {
         Runnable told;
         synchronized (this) {
-            told = read();
+            told = called || exchange != null ? next(called) : null;
         }
         if (told != null) {
             told.run(); // not under the lock: what hears of it may use other connections
@@ -118,7 +127,7 @@
     }
 
     /** Reads what is there; the rest of the matter, if an answer has come or can come no more. */
-    private Runnable read() {
+    private Runnable next(boolean called) {
         try {
             while (!closed) {
                 if (!in.hasRemaining()) {
@@ -127,11 +136,13 @@
                         parser.atEOF();
                         parser.parseNext(BufferUtil.EMPTY_BUFFER);
                         keep = false;
-                        return complete ? finished() : () -> lost(CallEnd.BROKEN);
+                        return complete ? finished(called) : () -> lost(CallEnd.BROKEN);
                     }
                     if (n == 0) {
                         limitTime();
-                        fillInterested();
+                        if (called) {
+                            fillInterested();
+                        }
                         return null;
                     }
                 }
@@ -143,7 +154,7 @@
                 if (complete && !spoilt && status < 200 && status != 101 && ++interim <= MOST_INTERIM) {
                     reset(); // the final answer is still to come
                 } else if (complete && !spoilt && status >= 200) {
-                    return finished();
+                    return finished(called);
                 } else if (spoilt || stopped) {
                     return () -> lost(CallEnd.SPOILT);
                 }
@@ -172,7 +183,7 @@
         parser.reset();
     }
 
-    private Runnable finished() throws IOException {
+    private Runnable finished(boolean called) throws IOException {
         HttpPool.Exchange done = exchange;
         HttpMessage response = new HttpMessage(Integer.toString(status), fields.asImmutable(),
                 body.toByteArray());
@@ -184,9 +195,10 @@
         interim = 0;
         reset();
         boolean reuse = keep && !in.hasRemaining() && getEndPoint().isOpen() && getEndPoint().fill(in) == 0;
-        if (reuse) {
+        if (reuse && called) {
             fillInterested();
-        } else {
+        }
+        if (!reuse) {
             closed = true;
             close();
         }
--- a/src/main/java/juniperusher/net/HttpPool.java
+++ b/src/main/java/juniperusher/net/HttpPool.java
@@ -218,6 +218,17 @@
             firstLine = status;
         }
 
+        /** Reads an answer that has come, should the selector not have got to it yet. */
+        public void poll() {
+            HttpClientConnection out;
+            synchronized (this) {
+                out = over ? null : connection;
+            }
+            if (out != null) {
+                out.poll();
+            }
+        }
+
         long most() {
             return listener.most();
         }
--- /dev/null
+++ b/src/test/java/juniperusher/net/PollTest.java
@@ -0,0 +1,70 @@
+package juniperusher.net;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import juniperusher.core.CallEnd;
+import org.testng.annotations.Test;
+
+/** An answer that has come is read when it is asked for, though the selector is busy. */
+public class PollTest {
+    private static final byte[] ANSWER = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+            .getBytes(StandardCharsets.US_ASCII);
+
+    private static HttpPool.Listener listener(CompletableFuture<Integer> status, CountDownLatch stuck) {
+        return new HttpPool.Listener() {
+            @Override
+            public void answered(HttpMessage response) {
+                status.complete(response.status());
+                try {
+                    stuck.await(10, TimeUnit.SECONDS);
+                } catch (InterruptedException e) {
+                    Thread.currentThread().interrupt();
+                }
+            }
+
+            @Override
+            public void ended(CallEnd why, int firstLine) {
+                status.completeExceptionally(new IllegalStateException(why.toString()));
+            }
+        };
+    }
+
+    @Test
+    public void anAnswerIsReadThoughTheSelectorIsBusy() throws Exception {
+        CountDownLatch stuck = new CountDownLatch(1);
+        try (ServerSocket server = new ServerSocket(0, 5, InetAddress.getByName("127.0.0.1"));
+                Network network = new Network(1)) {
+            HttpPool pool = new HttpPool(network, 5, 5);
+            InetSocketAddress address = new InetSocketAddress("127.0.0.1", server.getLocalPort());
+            HttpMessage request = HttpMessage.request("GET", "/", new byte[0], "Host", "a");
+            CompletableFuture<Integer> first = new CompletableFuture<>();
+            CompletableFuture<Integer> second = new CompletableFuture<>();
+            pool.exchange(address, request, () -> true, listener(first, stuck));
+            try (Socket one = server.accept()) {
+                HttpPool.Exchange asked = pool.exchange(address, request, () -> true,
+                        listener(second, new CountDownLatch(0)));
+                try (Socket two = server.accept()) {
+                    two.getInputStream().read(); // its request is written
+                    one.getOutputStream().write(ANSWER);
+                    assertEquals(first.get(2, TimeUnit.SECONDS), (Integer) 200);
+                    two.getOutputStream().write(ANSWER);
+                    Thread.sleep(100);
+                    assertFalse(second.isDone(), "the selector is not busy");
+                    asked.poll();
+                    assertEquals(second.getNow(0), (Integer) 200);
+                }
+            } finally {
+                stuck.countDown();
+            }
+        }
+    }
+}
