--- a/src/main/java/juniperusher/amqp/AmqpServerConnection.java
+++ b/src/main/java/juniperusher/amqp/AmqpServerConnection.java
@@ -7,16 +7,19 @@
 import java.util.concurrent.TimeUnit;
 import juniperusher.core.Channel;
 import juniperusher.core.UnavailableStatus;
+import juniperusher.net.Inbound;
 import juniperusher.net.Network;
 import org.eclipse.jetty.io.EndPoint;
 
 /** A client's connection: the handshake, its channels, what it publishes, and the ends it consumes. */
-final class AmqpServerConnection extends AmqpConnection {
+final class AmqpServerConnection extends AmqpConnection implements Inbound.Guest {
     static final int MOST_BODY = 64 * 1024;
     private static final int CHANNEL_MAX = 255;
     private static final long HANDSHAKE = 10_000; // ms
 
     private final AmqpFront front;
+    private final Inbound inbound;
+    private final long openedAt = System.nanoTime();
     private final Map<Integer, ServerChannel> channels = new ConcurrentHashMap<>();
     // The method that the handshake waits for: -1 the protocol header, 0 none.
     private volatile int expected = -1;
@@ -24,6 +27,7 @@
     AmqpServerConnection(EndPoint endPoint, Network network, AmqpFront front) {
         super(endPoint, network);
         this.front = front;
+        inbound = network.inbound();
         network.scheduler().schedule(() -> {
             if (expected != 0) {
                 end(); // Guards descriptors against a client that never ends its handshake.
@@ -31,6 +35,34 @@
         }, HANDSHAKE, TimeUnit.MILLISECONDS);
     }
 
+    @Override
+    public void onOpen() {
+        inbound.add(this);
+        super.onOpen();
+    }
+
+    @Override
+    public void onClose(Throwable cause) {
+        super.onClose(cause);
+        inbound.remove(this);
+    }
+
+    /** Mute until it has logged in; from then on it is never shed, as its consumers wait for ends. */
+    @Override
+    public Inbound.Standing standing() {
+        return expected != 0 ? Inbound.Standing.MUTE : Inbound.Standing.SERVED;
+    }
+
+    @Override
+    public long since() {
+        return openedAt;
+    }
+
+    @Override
+    public void shed() {
+        end();
+    }
+
     /** One channel. Its fields are used by the connection's reader, but for what consumers touch. */
     final class ServerChannel {
         private final int number;
