A relay started with SIGHUP ignored takes a changed configuration file for it

A process started under nohup has SIGHUP ignored, its children inherit that, and HotSpot leaves an ignored SIGHUP ignored whatever handler is set (Signal.handle returns SIG_IGN, which Main.Serve threw away).

Change: ReloadSignal asks how SIGHUP stood; where it is ignored it says so in one line and looks at the file five times a second, taking it once it has changed and rests. A failure while the watch moves no longer ends the thread that waits for SIGHUP.

Result: RestartTest plays the reload with SIGHUP ignored; it fails without the mend (the watch never moves) and passes with it.

--- a/src/main/java/juniperusher/cli/Main.java
+++ b/src/main/java/juniperusher/cli/Main.java
@@ -11,7 +11,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
-import java.util.concurrent.Semaphore;
 import juniperusher.amqp.AmqpConfig;
 import juniperusher.amqp.AmqpExtension;
 import juniperusher.core.Counters;
@@ -24,7 +23,6 @@
 import juniperusher.sim.SimHost;
 import juniperusher.sim.WireException;
 import org.slf4j.LoggerFactory;
-import sun.misc.Signal;
 
 /** The command line. */
 public final class Main {
@@ -106,10 +104,8 @@
 
         @Override
         public int run() throws Exception {
-            // Guards against ending on SIGHUP, as a JVM does by itself; one that comes early waits here.
-            Semaphore hangups = new Semaphore(0);
-            Signal.handle(new Signal("HUP"), signal -> hangups.release());
             Path file = Path.of(variable("RELAY_CONFIG"));
+            ReloadSignal reloads = new ReloadSignal(file);
             Config config = Config.read(file);
             Path state = Path.of(variable("RELAY_STATE"));
             WarmUp.run(config, state, WARM_UP);
@@ -136,8 +132,7 @@
                 }
             }, "drain"));
             while (true) {
-                hangups.acquire();
-                hangups.drainPermits();
+                reloads.await();
                 platform.reload(file);
             }
         }
--- a/src/main/java/juniperusher/http/Platform.java
+++ b/src/main/java/juniperusher/http/Platform.java
@@ -99,7 +99,12 @@
             return;
         }
         config.set(config.get().movedTo(newer));
-        resolver.moved();
+        try {
+            resolver.moved();
+        } catch (RuntimeException e) {
+            // Guards the thread that waits for SIGHUP: were it to end, none would ever be heard again.
+            LOG.error("the watch could not move at once; the watchdog opens it", e);
+        }
         counters.add("reloads_total", "result", "done");
         LOG.info("configuration read anew; discovery is at {}", newer.discovery());
     }
--- a/src/test/java/juniperusher/net/RestartTest.java
+++ b/src/test/java/juniperusher/net/RestartTest.java
@@ -51,9 +51,14 @@
     }
 
     private void start() throws Exception {
-        ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java")
-                .toString(), "-cp", System.getProperty("surefire.test.class.path",
-                System.getProperty("java.class.path")), "juniperusher.cli.Main", "serve");
+        start("exec \"$@\"");
+    }
+
+    private void start(String shell) throws Exception {
+        ProcessBuilder builder = new ProcessBuilder("sh", "-c", shell, "sh",
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-cp",
+                System.getProperty("surefire.test.class.path", System.getProperty("java.class.path")),
+                "juniperusher.cli.Main", "serve");
         builder.environment().put("RELAY_CONFIG", folder.resolve("relay.json").toString());
         builder.environment().put("RELAY_STATE", folder.resolve("state").toString());
         program = builder.redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.DISCARD).start();
@@ -103,9 +108,19 @@
         assertEquals(new ProcessBuilder("kill", "-HUP", Long.toString(program.pid())).start().waitFor(), 0);
     }
 
+    /** An ignored signal is inherited: a relay under nohup, or under a tool started so, gets none. */
+    @Test
+    public void whereSighupIsIgnoredTheChangedFileIsTakenForIt() throws Exception {
+        reloads("trap '' HUP; exec \"$@\"");
+    }
+
     @Test
     public void onSighupWatchAndNoticesMoveAndABrokenFileChangesNothing() throws Exception {
-        start();
+        reloads("exec \"$@\"");
+    }
+
+    private void reloads(String shell) throws Exception {
+        start(shell);
         play(WATCH + handIn("client1", "order", "ordem-build") + received("endpoint1", "order"));
         Path file = folder.resolve("relay.json");
         JsonObject json = Json.parse(Files.readString(file)).asObject();
