A connection serves the next call only once the write before it has ended

An answer can come, and its connection be taken for the next call, while the thread that wrote the request still stands within its write (on part of a core it may stand there for long). Jetty then throws WritePendingException out of HttpPool.exchange (HttpClientConnection.start). For a call it would end as "RPC failed", a give-up of a message that never left.

Change: a connection whose answer came before the end of its write goes back to the pool when that write ends; a write that is refused ends its exchange as never sent.

Result: EarlyAnswerTest answers within the write; without the mend the second exchange of five ends as BROKEN, with it all five are answered.

--- a/src/main/java/juniperusher/net/HttpClientConnection.java
+++ b/src/main/java/juniperusher/net/HttpClientConnection.java
@@ -3,6 +3,7 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import java.nio.channels.WritePendingException;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import juniperusher.core.CallEnd;
@@ -45,6 +46,8 @@
     private volatile boolean closed;
     private volatile long idleSince;
     private Scheduler.Task overdue;
+    private boolean writing; // the request's write has not said how it ended
+    private HttpPool.Exchange answeredEarly; // whose answer came before that
 
     HttpClientConnection(EndPoint endPoint, Network network, HttpPool pool,
             Consumer<HttpClientConnection> opened) {
@@ -86,12 +89,39 @@
             pool.unused(next, this);
             return;
         }
-        getEndPoint().write(Callback.from(() -> { }, failure -> {
-            if (request.hasRemaining()) {
-                next.neverWhole();
-            }
+        synchronized (this) {
+            writing = true;
+        }
+        try {
+            getEndPoint().write(Callback.from(this::written, failure -> {
+                if (request.hasRemaining()) {
+                    next.neverWhole();
+                }
+                lost(CallEnd.BROKEN);
+            }), request);
+        } catch (WritePendingException e) {
+            next.neverWhole(); // not one byte was taken
             lost(CallEnd.BROKEN);
-        }), request);
+        }
+    }
+
+    /**
+     * The request is written. Guards the next request: an answer can come, and its connection be taken for
+     * the
+     * next call, before the thread that wrote the request has got this far; a write then would be refused
+     * with
+     * an exception that nobody waits for. So a connection is kept only once both have ended.
+     */
+    private void written() {
+        HttpPool.Exchange done;
+        synchronized (this) {
+            writing = false;
+            done = answeredEarly;
+            answeredEarly = null;
+        }
+        if (done != null) {
+            pool.unused(done, this);
+        }
     }
 
     void idleFrom(long time) {
@@ -202,7 +232,11 @@
             closed = true;
             close();
         }
-        return done == null ? null : () -> done.answered(response, reuse ? this : null);
+        boolean later = reuse && writing;
+        if (later) {
+            answeredEarly = done;
+        }
+        return done == null ? null : () -> done.answered(response, reuse && !later ? this : null);
     }
 
     /** The connection is of no more use; an exchange on it ends so. */
--- /dev/null
+++ b/src/test/java/juniperusher/net/EarlyAnswerTest.java
@@ -0,0 +1,105 @@
+package juniperusher.net;
+
+import static org.testng.Assert.assertEquals;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import juniperusher.core.CallEnd;
+import org.eclipse.jetty.io.ByteArrayEndPoint;
+import org.eclipse.jetty.io.Connection;
+import org.testng.annotations.Test;
+
+/**
+ * An answer that comes, and is acted upon, while the thread that wrote the request is still within its write:
+ * on
+ * part of a core that thread may stand still for long.
+ */
+public class EarlyAnswerTest {
+    private static final InetSocketAddress AT = new InetSocketAddress("127.0.0.1", 1);
+    private static final int EXCHANGES = 5;
+
+    /** A network whose other side has answered before a write returns. */
+    private static final class Hasty extends Network {
+        private final List<ByteArrayEndPoint> opened = new CopyOnWriteArrayList<>();
+
+        Hasty() throws Exception {
+            super(1);
+        }
+
+        @Override
+        public void connect(InetSocketAddress address, Dial dial) {
+            ByteArrayEndPoint end = new ByteArrayEndPoint(scheduler(), 0) {
+                @Override
+                public boolean flush(ByteBuffer... buffers) throws IOException {
+                    boolean all = super.flush(buffers);
+                    if (all && takeOutputString(StandardCharsets.US_ASCII).endsWith("\r\n\r\n")) {
+                        addInput("HTTP/1.1 204 No Content\r\n\r\n");
+                    }
+                    return all;
+                }
+
+                @Override
+                protected void execute(Runnable task) {
+                    task.run(); // the answer is read at once
+                }
+            };
+            end.setGrowOutput(true);
+            opened.add(end);
+            Connection connection = dial.connected(end);
+            end.setConnection(connection);
+            end.onOpen();
+            connection.onOpen();
+        }
+    }
+
+    @Test
+    public void theNextRequestWaitsForTheEndOfTheWriteBefore() throws Exception {
+        try (Hasty network = new Hasty()) {
+            HttpPool pool = new HttpPool(network, 10, 8);
+            List<String> ends = new ArrayList<>();
+            CountDownLatch over = new CountDownLatch(1);
+            next(pool, ends, over);
+            over.await(5, TimeUnit.SECONDS);
+            assertEquals(ends, java.util.Collections.nCopies(EXCHANGES, "204"));
+            // What was kept once its write was over serves the next call.
+            int before = network.opened.size();
+            ends.clear();
+            ends.addAll(java.util.Collections.nCopies(EXCHANGES - 1, "earlier"));
+            next(pool, ends, new CountDownLatch(1));
+            assertEquals(ends.get(EXCHANGES - 1), "204");
+            assertEquals(network.opened.size(), before, "connections opened");
+        }
+    }
+
+    private static void next(HttpPool pool, List<String> ends, CountDownLatch over) {
+        pool.exchange(AT, HttpMessage.request("GET", "/discovery/hosts", new byte[0], "Host", "a"),
+                () -> true,
+                new HttpPool.Listener() {
+                    @Override
+                    public void answered(HttpMessage response) {
+                        told(Integer.toString(response.status()));
+                    }
+
+                    @Override
+                    public void ended(CallEnd why, int firstLine) {
+                        told(why.name());
+                    }
+
+                    private void told(String end) {
+                        ends.add(end);
+                        if (ends.size() < EXCHANGES) {
+                            next(pool, ends, over);
+                        } else {
+                            over.countDown();
+                        }
+                    }
+                });
+    }
+}
