--- a/src/main/java/juniperusher/core/Relay.java
+++ b/src/main/java/juniperusher/core/Relay.java
@@ -33,6 +33,8 @@
 import juniperusher.Protocol.Target;
 import juniperusher.Protocol.TargetList;
 import juniperusher.Protocol.Withdrawn;
+import juniperusher.membership.Membership;
+import juniperusher.membership.Snapshot;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -87,8 +89,8 @@
     }
 
     /** Starts deciding, and takes up again what an earlier process left owed. */
-    public void start(TargetList known) {
-        resolved(known);
+    public void start(Snapshot known) {
+        resolved(known, Membership.whole(known));
         for (Journal.Owed left : journal.recovered()) {
             recover(left);
         }
@@ -185,10 +187,15 @@
 
     // ---- what the module is told ----
 
-    /** The resolver result: the whole list, or what changed in it. */
-    public void resolved(TargetList list) {
-        guards.learn(list);
-        loop.post(list);
+    /**
+     * The resolver result: the snapshot that guards hold from now on, and what the module is told of it. A
+     * list that names nothing new says nothing to the module.
+     */
+    public void resolved(Snapshot snapshot, TargetList list) {
+        guards.learn(snapshot);
+        if (list.whole() || !list.targets().isEmpty()) {
+            loop.post(list);
+        }
     }
 
     /** A note or another event that a front passes on as it is. */
--- a/src/main/java/juniperusher/core/SharedCall.java
+++ b/src/main/java/juniperusher/core/SharedCall.java
@@ -8,12 +8,15 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import juniperusher.Protocol.Target;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * One call and the RPCs that share it: one connection, one fate. It starts when the last of them has
  * joined, so that each has its attempt in the journal before the first byte.
  */
 final class SharedCall {
+    private static final Logger LOG = LoggerFactory.getLogger(SharedCall.class);
     // s before its deadline an RPC ceases to wait for the others
     private static final double ENDS_EARLY = 0.02;
 
@@ -82,11 +85,19 @@
     }
 
     private void start() {
-        Subchannels.Call started = subchannels.call(target, members.stream().map(member ->
-                member.rpc.request()).toList(), timeout, this::clear, (place, result) -> {
-                    heard.accept(result);
-                    members.get(place).result.complete(result);
-                });
+        Subchannels.Call started;
+        try {
+            started = subchannels.call(target, members.stream().map(member ->
+                    member.rpc.request()).toList(), timeout, this::clear, (place, result) -> {
+                        heard.accept(result);
+                        members.get(place).result.complete(result);
+                    });
+        } catch (RuntimeException e) {
+            // Guards those that joined earlier: only the last one's chain would hear of it. It may have run.
+            LOG.atError().setCause(e).addKeyValue("endpoint", target.id()).log("a call failed at its start");
+            members.forEach(member -> member.result.complete(CallResult.of(CallEnd.BROKEN)));
+            return;
+        }
         boolean off;
         synchronized (this) {
             call = started;
--- a/src/main/java/juniperusher/http/Platform.java
+++ b/src/main/java/juniperusher/http/Platform.java
@@ -3,11 +3,8 @@
 import java.io.Closeable;
 import java.io.IOException;
 import java.nio.file.Path;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicReference;
-import juniperusher.Protocol.Target;
-import juniperusher.Protocol.TargetList;
 import juniperusher.core.Counters;
 import juniperusher.core.Extension;
 import juniperusher.core.Relay;
@@ -49,7 +46,8 @@
                 Math.max(LEAST_IDLE, (int) (first.descriptors() * IDLE_DESCRIPTORS)));
         peers = new Peers(config::get);
         Relay[] made = new Relay[1];
-        resolver = new Resolver(config::get, pool, network, list -> made[0].resolved(extended(list)));
+        resolver = new Resolver(first, pool, network, counters, (snapshot, list) ->
+                made[0].resolved(snapshot, list));
         Subchannels usual = new HttpSubchannels(first, pool, network, resolver);
         Subchannels subchannels = extension == null ? usual : new RoutedSubchannels(usual, extension);
         relay = new Relay(first.settings().settings(), first.seed(), first.gap(), state,
@@ -66,8 +64,8 @@
         if (extension != null) {
             extension.join(relay);
         }
-        relay.start(extended(resolver.known()));
-        resolver.start();
+        relay.start(resolver.known(first.known(), extension == null ? List.of() : extension.targets()));
+        resolver.start(first.discovery());
         peers.start(relay::tell);
         listener = front.listen(network);
         if (extension != null) {
@@ -75,16 +73,6 @@
         }
     }
 
-    /** A whole list names the extension's endpoints as well: what it leaves out is gone. */
-    private TargetList extended(TargetList list) {
-        if (extension == null || !list.whole()) {
-            return list;
-        }
-        List<Target> all = new ArrayList<>(list.targets());
-        all.addAll(extension.targets());
-        return new TargetList(true, all);
-    }
-
     /**
      * What SIGHUP asks for: puts the newer file's addresses in force in one step and keeps all that is held.
      * A file that cannot be read changes nothing and costs one line in the log.
@@ -99,12 +87,7 @@
             return;
         }
         config.set(config.get().movedTo(newer));
-        try {
-            resolver.moved();
-        } catch (RuntimeException e) {
-            // Guards the thread that waits for SIGHUP: were it to end, none would ever be heard again.
-            LOG.error("the watch could not move at once; the watchdog opens it", e);
-        }
+        resolver.moved(newer.discovery());
         counters.add("reloads_total", "result", "done");
         LOG.info("configuration read anew; discovery is at {}", newer.discovery());
     }
--- a/src/main/java/juniperusher/http/Resolver.java
+++ b/src/main/java/juniperusher/http/Resolver.java
@@ -1,25 +1,27 @@
 package juniperusher.http;
 
-import com.eclipsesource.json.Json;
 import com.eclipsesource.json.JsonObject;
-import com.eclipsesource.json.JsonValue;
-import com.eclipsesource.json.ParseException;
 import java.io.ByteArrayOutputStream;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
-import java.util.function.Supplier;
-import java.util.stream.Collectors;
+import java.util.function.BiConsumer;
 import juniperusher.Protocol.Phase;
 import juniperusher.Protocol.Target;
 import juniperusher.Protocol.TargetList;
 import juniperusher.core.CallEnd;
+import juniperusher.core.Counters;
+import juniperusher.membership.Membership;
+import juniperusher.membership.Snapshot;
+import juniperusher.membership.Step;
+import juniperusher.membership.Timing;
+import juniperusher.membership.Update;
 import juniperusher.net.HttpMessage;
 import juniperusher.net.HttpPool;
 import juniperusher.net.Network;
@@ -27,94 +29,184 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * Discovery's list as the module's targets. Starts from the list known last, holds a watch and resumes it
- * by its index. At another address the whole list is fetched first: an index counts only where it was told.
- * While discovery is silent or broken, the old resolver result stands.
+ * The sockets around {@link Membership}: reads what discovery's agent sends and carries out what the state
+ * machine asks for. One thread owns the machine. Whatever fails in a step, that thread goes on, and the
+ * machine's own time brings the next watch: nothing here depends on a timer that someone has to set again.
  */
-final class Resolver {
+final class Resolver implements Runnable {
     private static final Logger LOG = LoggerFactory.getLogger(Resolver.class);
-    private static final long SILENT = 4_500; // ms without even an empty line, due every 2 s: a dead watch
-    private static final long SILENT_WHOLE = 1_000; // ms for the whole list, which an agent tells at once
-    private static final long AGAIN = 250; // ms before the watch is opened anew
+    // bytes of a whole list or of a line: 20,000 endpoints or so
+    private static final int MOST_LIST = 4 << 20;
+    private static final long LOOK = 500; // ms after which the machine is asked, whatever it said is due
+    private static final long STACK = 256 * 1024; // bytes
 
-    private static final long MOST_LIST = 1 << 20; // bytes of the whole list
-    private static final long FORGET = 30; // s after which a gone endpoint has no call out
-
-    private final Supplier<Config> config;
     private final HttpPool pool;
-    private final Network network;
-    private final Consumer<TargetList> told;
-    private final Map<String, Integer> numbers = new ConcurrentHashMap<>();
-    private final Map<Integer, InetSocketAddress> addresses = new ConcurrentHashMap<>();
-    private int lastNumber;
-    private long version;
-    private boolean numbered = true; // the version was told by the agent that is asked
-    private volatile long heardAt;
-    private volatile Watch watch;
+    private final Counters counters;
+    private final AgentList reader;
+    private final BiConsumer<Snapshot, TargetList> told;
+    private final Membership membership;
+    private final BlockingQueue<Event> events = new LinkedBlockingQueue<>();
+    private final Map<Integer, HttpPool.Exchange> open = new HashMap<>();
+    private final long origin = System.nanoTime();
+    private final Thread thread = new Thread(null, this, "membership", STACK);
+    private volatile Snapshot snapshot = Snapshot.EMPTY;
+    private volatile double heardAt;
     private volatile boolean stopped;
 
-    Resolver(Supplier<Config> config, HttpPool pool, Network network, Consumer<TargetList> told) {
-        this.config = config;
+    /** Something that the machine is told, at the time at which it is taken up. */
+    private interface Event {
+        List<Step> tell(double now);
+    }
+
+    /** {@code told} hears each new snapshot and what is different in it. */
+    Resolver(Config config, HttpPool pool, Network network, Counters counters,
+            BiConsumer<Snapshot, TargetList> told) {
+        this(config, Timing.USUAL, pool, counters, told);
+    }
+
+    Resolver(Config config, Timing timing, HttpPool pool, Counters counters,
+            BiConsumer<Snapshot, TargetList> told) {
         this.pool = pool;
-        this.network = network;
+        this.counters = counters;
         this.told = told;
+        reader = new AgentList(config.kinds(), config.zones());
+        membership = new Membership(timing, List.of());
+        thread.setDaemon(true);
+        counters.gauge("discovery_age_seconds", () -> now() - heardAt);
+        counters.gauge("membership_version", () -> snapshot.version());
+        counters.gauge("membership_confirmed", () -> snapshot.confirmed() ? 1 : 0);
+        counters.gauge("endpoints_ready", () -> snapshot.count(Phase.READY));
+        counters.gauge("endpoints_draining", () -> snapshot.count(Phase.DRAINING));
     }
 
-    /** The list known last. */
-    TargetList known() {
-        return result(config.get().known());
+    private double now() {
+        return (System.nanoTime() - origin) / 1e9;
+    }
+
+    /** The list known last, which may be old, and the endpoints that no list names. */
+    Snapshot known(JsonObject old, List<Target> fixed) {
+        Update update;
+        try {
+            update = reader.read(old);
+        } catch (IllegalArgumentException | UnsupportedOperationException e) {
+            LOG.warn("the list known last cannot be read; beginning without: {}", e.getMessage());
+            update = new Update(true, 0, List.of(), Set.of());
+        }
+        snapshot = membership.known(update, fixed, now());
+        return snapshot;
+    }
+
+    /** The state in force. */
+    Snapshot snapshot() {
+        return snapshot;
     }
 
     /** The address of an endpoint. */
     InetSocketAddress address(int subchannel) {
-        return addresses.get(subchannel);
+        return snapshot.address(subchannel);
+    }
+
+    void start(InetSocketAddress discovery) {
+        moved(discovery);
+        thread.start();
     }
 
-    void start() {
-        open();
-        check();
+    /** The agent has another address: the old one is left at once, whether or not it still talks. */
+    void moved(InetSocketAddress discovery) {
+        events.add(now -> membership.moved(discovery, now));
     }
 
     void stop() {
         stopped = true;
+        events.add(now -> membership.stop());
     }
 
-    /** The agent has another address: leaves the old one at once, whether or not it still talks. */
-    synchronized void moved() {
-        Watch old = watch;
-        numbered = false;
-        open();
-        old.exchange.abandon(CallEnd.CALLED_OFF);
+    // ---- the one thread that owns the machine ----
+
+    @Override
+    public void run() {
+        while (!stopped) {
+            try {
+                turn();
+            } catch (InterruptedException e) {
+                LOG.debug("membership ends");
+                return;
+            } catch (RuntimeException | Error e) {
+                // Guards against a relay that never again hears of its endpoints.
+                LOG.error("membership goes on after a failure", e);
+                counters.add("membership_failures_total");
+            }
+        }
     }
 
-    private synchronized void open() {
-        if (stopped) {
-            return;
+    private void turn() throws InterruptedException {
+        long wait = Math.max(1, Math.min(LOOK, (long) Math.ceil((membership.due() - now()) * 1000)));
+        Event event = events.poll(wait, TimeUnit.MILLISECONDS);
+        try {
+            if (event != null) {
+                carryOut(event.tell(now()));
+            }
+        } finally {
+            carryOut(membership.tick(now())); // also when events never cease, or one of them failed
+            heardAt = membership.heardAt();
         }
-        heardAt = System.currentTimeMillis();
-        Watch next = new Watch(!numbered);
-        watch = next;
-        next.exchange = pool.exchange(config.get().discovery(), HttpMessage.request("GET", "/discovery/hosts"
-                + (next.whole ? "" : "?stream=1&index=" + version), new byte[0], "Host", "discovery"),
-                () -> true, next);
-    }
-
-    private synchronized void check() {
-        if (System.currentTimeMillis() - heardAt > (watch.whole ? SILENT_WHOLE : SILENT)) {
-            LOG.warn("resolver: the watch is silent; opening it anew");
-            watch.exchange.abandon(CallEnd.TIMED_OUT);
+    }
+
+    private void carryOut(List<Step> steps) {
+        for (Step step : steps) {
+            if (step instanceof Step.Open watch) {
+                open(watch);
+            } else if (step instanceof Step.Abandon abandoned) {
+                HttpPool.Exchange exchange = open.remove(abandoned.watch());
+                if (exchange != null) {
+                    exchange.abandon(CallEnd.CALLED_OFF);
+                }
+            } else if (step instanceof Step.Publish publish) {
+                publish(publish);
+            }
         }
-        if (!stopped) {
-            network.scheduler().schedule(this::check, 500, TimeUnit.MILLISECONDS);
+    }
+
+    private void open(Step.Open watch) {
+        counters.add("watch_openings_total", "what", watch.whole() ? "list" : "watch");
+        LOG.atInfo().addKeyValue("watch", watch.watch()).addKeyValue("discovery", watch.address())
+                .addKeyValue("index", watch.whole() ? "none" : Long.toString(watch.index()))
+                .log(watch.whole() ? "asking for the whole list" : "opening the watch");
+        try {
+            open.put(watch.watch(), pool.exchange(watch.address(),
+                    HttpMessage.request("GET", "/discovery/hosts"
+                    + (watch.whole() ? "" : "?stream=1&index=" + watch.index()), new byte[0], "Host",
+                    "discovery"), () -> true, new Reader(watch.watch(), watch.whole())));
+        } catch (RuntimeException | Error e) {
+            // Guards against a watch in force that nobody holds: it would be due only when its silence is
+            // over.
+            membership.ended(watch.watch(), now());
+            throw e;
         }
     }
 
-    private final class Watch implements HttpPool.Listener {
-        private final ByteArrayOutputStream line = new ByteArrayOutputStream();
+    private void publish(Step.Publish change) {
+        snapshot = change.snapshot();
+        try {
+            told.accept(change.snapshot(), change.told());
+        } finally {
+            change.left().forEach(left -> pool.closeIdle(left.address(), left.target().id()));
+        }
+        if (!change.told().targets().isEmpty()) {
+            LOG.atInfo().addKeyValue("version", snapshot.version()).addKeyValue("changed",
+                    change.told().targets().size()).addKeyValue("ready", snapshot.count(Phase.READY))
+                    .addKeyValue("draining", snapshot.count(Phase.DRAINING)).log("the list has changed");
+        }
+    }
+
+    /** Cuts what comes on a watch into lines, on the threads of the network. */
+    private final class Reader implements HttpPool.Listener {
+        private final int number;
         private final boolean whole;
-        private HttpPool.Exchange exchange;
+        private final ByteArrayOutputStream line = new ByteArrayOutputStream();
 
-        Watch(boolean whole) {
+        Reader(int number, boolean whole) {
+            this.number = number;
             this.whole = whole;
         }
 
@@ -123,21 +215,47 @@
             if (whole) {
                 return false;
             }
-            heardAt = System.currentTimeMillis();
-            if (status != 200 || this != watch) {
+            events.add(now -> membership.heard(number, now));
+            if (status != 200) {
                 return true;
             }
             for (byte b : piece) {
                 if (b != '\n') {
                     line.write(b);
-                } else if (line.size() > 0) {
-                    take(this, line.toString(StandardCharsets.UTF_8).strip());
+                } else {
+                    tell(line.toString(StandardCharsets.UTF_8).strip());
                     line.reset();
                 }
             }
+            if (line.size() > MOST_LIST) {
+                line.reset(); // a line without end
+                events.add(now -> membership.damaged(number, now));
+            }
             return true;
         }
 
+        private void tell(String text) {
+            if (text.isEmpty()) {
+                return;
+            }
+            events.add(now -> {
+                Update update;
+                try {
+                    update = reader.read(text);
+                } catch (IllegalArgumentException e) {
+                    LOG.atWarn().addKeyValue("watch", number).log("what discovery said cannot be read: {}",
+                            e.getMessage());
+                    counters.add("watch_damaged_total");
+                    return membership.damaged(number, now);
+                }
+                if (!update.unread().isEmpty()) {
+                    LOG.atWarn().addKeyValue("watch", number).addKeyValue("ids", update.unread())
+                            .log("entries that cannot be read; what was known of these stands");
+                }
+                return membership.told(number, update, now);
+            });
+        }
+
         @Override
         public long most() {
             return whole ? MOST_LIST : Long.MAX_VALUE;
@@ -145,71 +263,25 @@
 
         @Override
         public void answered(HttpMessage response) {
-            if (whole && response.status() == 200 && take(this, response.text())) {
-                open(); // the watch proper, from here on
-            } else {
-                again();
+            if (whole && response.status() == 200) {
+                tell(response.text());
+            } else if (response.status() != 200) {
+                LOG.atWarn().addKeyValue("watch", number).log("discovery answered {}", response.status());
+                events.add(now -> membership.damaged(number, now)); // it may not know the index any more
             }
+            over();
         }
 
         @Override
         public void ended(CallEnd why, int firstLine) {
-            again();
+            over();
         }
 
-        private void again() {
-            if (this == watch && !stopped) {
-                network.scheduler().schedule(Resolver.this::open, AGAIN, TimeUnit.MILLISECONDS);
-            }
-        }
-    }
-
-    /** Passes on what the watch in force was told; whether it could be read. */
-    private synchronized boolean take(Watch from, String text) {
-        if (text.isEmpty() || from != watch) {
-            return false;
-        }
-        try {
-            told.accept(result(Json.parse(text).asObject()));
-            numbered = true;
-            return true;
-        } catch (ParseException | UnsupportedOperationException | NullPointerException e) {
-            LOG.warn("resolver: a line that cannot be read: {}", e.toString());
-            return false;
-        }
-    }
-
-    private synchronized TargetList result(JsonObject json) {
-        List<Target> targets = new ArrayList<>();
-        for (JsonValue value : json.get("servers").asArray()) {
-            JsonObject entry = value.asObject();
-            String id = entry.getString("id", "");
-            int number = numbers.computeIfAbsent(id, key -> ++lastNumber);
-            if (entry.get("addr") != null && entry.get("addr").isString()) {
-                addresses.put(number, Config.address(entry.getString("addr", "")));
-            }
-            Phase phase = switch (entry.getString("state", "")) {
-                case "up" -> Phase.READY;
-                case "draining" -> Phase.DRAINING;
-                default -> Phase.GONE;
-            };
-            if (phase == Phase.GONE) {
-                pool.closeIdle(addresses.get(number), number);
-                numbers.remove(id); // should it come again, it is a new one to all that knew it
-                network.scheduler().schedule(() -> addresses.remove(number), FORGET, TimeUnit.SECONDS);
-            }
-            targets.add(new Target(number, entry.getInt("cell", -1),
-                    Math.max(0, config.get().kinds().indexOf(entry.getString("kind", ""))),
-                    Math.max(0, config.get().zones().indexOf(entry.getString("zone", ""))),
-                    entry.getDouble("weight", 1), phase));
-        }
-        version = json.getLong("version", version);
-        boolean full = json.getBoolean("full", true);
-        if (full) {
-            Set<Integer> named = targets.stream().map(Target::id).collect(Collectors.toSet());
-            numbers.values().retainAll(named);
-            addresses.keySet().retainAll(named);
+        private void over() {
+            events.add(now -> {
+                open.remove(number);
+                return membership.ended(number, now);
+            });
         }
-        return new TargetList(full, targets);
     }
 }
--- /dev/null
+++ b/src/test/java/juniperusher/membership/MembershipTest.java
@@ -0,0 +1,249 @@
+package juniperusher.membership;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.Set;
+import juniperusher.Protocol.Phase;
+import juniperusher.Protocol.Target;
+import org.junit.jupiter.api.Test;
+
+class MembershipTest {
+    private static final InetSocketAddress OLD = new InetSocketAddress("127.0.0.1", 1);
+    private static final InetSocketAddress NEW = new InetSocketAddress("127.0.0.1", 2);
+    private static final Timing TIMING = new Timing(4, 1, 0.25, 30);
+
+    private final Membership membership = new Membership(TIMING, List.of());
+
+    private static Entry entry(String id, Phase phase, int port) {
+        return new Entry(id, port == 0 ? null : new InetSocketAddress("127.0.0.1", port), 7, 0, 0, 5, phase);
+    }
+
+    private static Update whole(long version, Entry... entries) {
+        return new Update(true, version, List.of(entries), Set.of());
+    }
+
+    private static Update changes(long version, Entry... entries) {
+        return new Update(false, version, List.of(entries), Set.of());
+    }
+
+    private static Step.Open opened(List<Step> steps) {
+        return steps.stream().filter(Step.Open.class::isInstance).map(Step.Open.class::cast).findFirst()
+                .orElseThrow(() -> new AssertionError("no watch is opened by " + steps));
+    }
+
+    private Step.Open started(Entry... entries) {
+        membership.known(whole(41, entries), List.of(), 0);
+        return opened(membership.moved(OLD, 0));
+    }
+
+    private Endpoint endpoint(String id) {
+        return membership.snapshot().endpoints().values().stream().filter(one -> one.id().equals(id)
+                && one.target().phase() != Phase.GONE).findFirst().orElse(null);
+    }
+
+    @Test
+    void anIndexKnownFromBeforeCountsNowhere() {
+        Step.Open first = started(entry("a", Phase.READY, 10));
+        assertTrue(first.whole(), "41 may be another agent's number");
+        assertFalse(membership.snapshot().confirmed());
+        Step.Open watch = opened(membership.told(first.watch(), whole(3, entry("a", Phase.READY, 10)), 0.1));
+        assertFalse(watch.whole());
+        assertEquals(3, watch.index());
+        assertTrue(membership.snapshot().confirmed());
+        assertEquals("127.0.0.1:1", membership.snapshot().source());
+    }
+
+    @Test
+    void aWatchThatEndsIsResumedByItsIndex() {
+        Step.Open first = started();
+        Step.Open watch = opened(membership.told(first.watch(), whole(3), 0.1));
+        membership.told(watch.watch(), changes(5, entry("a", Phase.READY, 10)), 0.2);
+        assertEquals(List.of(), membership.ended(watch.watch(), 1));
+        assertEquals(1.25, membership.due());
+        assertEquals(List.of(), membership.tick(1.2));
+        assertEquals(5, opened(membership.tick(1.25)).index());
+    }
+
+    @Test
+    void aLineThatCannotBeReadIsMadeGoodByTheWholeList() {
+        Step.Open first = started();
+        Step.Open watch = opened(membership.told(first.watch(), whole(3, entry("a", Phase.READY, 10)), 0.1));
+        assertEquals(List.of(new Step.Abandon(watch.watch())), membership.damaged(watch.watch(), 1));
+        assertTrue(opened(membership.tick(1.25)).whole(), "what the line said would be missed for good");
+        assertEquals(List.of(), membership.told(watch.watch(), whole(9), 1.3), "the old watch still talks");
+        assertEquals(Phase.READY, endpoint("a").target().phase());
+    }
+
+    @Test
+    void onAMoveTheOldWatchIsLeftAtOnceAndItsWordsCountForNothing() {
+        Step.Open first = started(entry("a", Phase.READY, 10));
+        Step.Open watch = opened(membership.told(first.watch(), whole(3, entry("a", Phase.READY, 10)), 0.1));
+        List<Step> steps = membership.moved(NEW, 1);
+        assertEquals(new Step.Abandon(watch.watch()), steps.get(0), "first the old one is left");
+        assertEquals(NEW, opened(steps).address());
+        assertTrue(opened(steps).whole());
+        assertEquals(List.of(), membership.told(watch.watch(), changes(4, entry("a", Phase.DRAINING, 10)),
+                1.1));
+        assertEquals(List.of(), membership.ended(watch.watch(), 1.2));
+        assertEquals(Phase.READY, endpoint("a").target().phase());
+        assertEquals(0.1, membership.heardAt(), "the old address is not heard any more");
+    }
+
+    @Test
+    void threeMovesWithinASecondLeaveOneWatchAtTheLastAddress() {
+        started();
+        membership.moved(NEW, 0.3);
+        membership.moved(OLD, 0.6);
+        Step.Open last = opened(membership.moved(NEW, 0.9));
+        assertEquals(NEW, last.address());
+        assertEquals(last.watch(), membership.watch());
+    }
+
+    @Test
+    void aDrainThatOnlyTheWholeListTellsIsHeeded() {
+        Step.Open first = started(entry("a", Phase.READY, 10), entry("b", Phase.READY, 11));
+        int a = endpoint("a").target().id();
+        int b = endpoint("b").target().id();
+        List<Step> steps = membership.told(first.watch(), whole(50, entry("a", Phase.DRAINING, 10)), 0.1);
+        Step.Publish change = (Step.Publish) steps.get(0);
+        assertEquals(List.of(Phase.DRAINING, Phase.GONE),
+                change.told().targets().stream().map(Target::phase).toList());
+        assertEquals(List.of(b), change.left().stream().map(one -> one.target().id()).toList());
+        assertFalse(change.told().whole(), "only what is different is told");
+        assertFalse(membership.snapshot().ready(a, 7) || membership.snapshot().ready(b, 7));
+    }
+
+    @Test
+    void anIdThatGoesAndReturnsAtAnotherAddressIsANewEndpoint() {
+        Step.Open first = started(entry("a", Phase.READY, 10));
+        int before = endpoint("a").target().id();
+        Step.Open watch = opened(membership.told(first.watch(), whole(1, entry("a", Phase.READY, 10)), 0));
+        membership.told(watch.watch(), changes(2, entry("a", Phase.GONE, 0)), 1);
+        assertNull(endpoint("a"));
+        membership.told(watch.watch(), changes(3, entry("a", Phase.READY, 12)), 2);
+        assertNotEquals(before, endpoint("a").target().id());
+        assertEquals(12, membership.snapshot().address(endpoint("a").target().id()).getPort());
+        assertEquals(Phase.GONE, membership.snapshot().target(before).phase(),
+                "calls to it may still be out");
+        membership.told(watch.watch(), changes(4), 32.5);
+        assertNull(membership.snapshot().target(before), "long gone");
+    }
+
+    @Test
+    void anIdThatMovesWithoutGoingKeepsItsNumberAndItsOldPlaceIsLeft() {
+        Step.Open first = started(entry("a", Phase.READY, 10));
+        Endpoint before = endpoint("a");
+        Step.Publish change = (Step.Publish) membership.told(first.watch(),
+                whole(1, entry("a", Phase.READY, 12)), 1)
+                .get(0);
+        assertEquals(before.target(), endpoint("a").target());
+        assertEquals(List.of(before), change.left());
+        assertEquals(12, endpoint("a").address().getPort());
+    }
+
+    @Test
+    void whatAnEntryLeavesOutStandsAndAnUnreadableOneWithdrawsNothing() {
+        Step.Open first = started(entry("a", Phase.READY, 10), entry("b", Phase.READY, 11));
+        membership.told(first.watch(), new Update(true, 1, List.of(entry("a", Phase.READY, 0)), Set.of("b")),
+                1);
+        assertEquals(10, endpoint("a").address().getPort());
+        assertEquals(Phase.READY, endpoint("b").target().phase());
+    }
+
+    @Test
+    void anEndpointWithoutAPlaceGetsNothing() {
+        started(entry("a", Phase.READY, 0));
+        assertEquals(Phase.DRAINING, endpoint("a").target().phase());
+    }
+
+    @Test
+    void anAgentThatIsAlwaysLateIsGivenMoreTimeAndIsHeardInTheEnd() {
+        started();
+        double now = 0;
+        double late = 3; // s until it answers
+        for (int tries = 0; tries < 10; tries++) {
+            int watch = membership.watch();
+            double since = now;
+            while (now < since + late && membership.watch() == watch) {
+                now += 0.05;
+                membership.tick(now);
+            }
+            if (membership.watch() == watch) {
+                membership.told(watch, whole(5, entry("a", Phase.READY, 10)), now);
+                assertEquals(Phase.READY, endpoint("a").target().phase());
+                return;
+            }
+            while (membership.watch() == 0) {
+                now += 0.05;
+                membership.tick(now);
+            }
+        }
+        throw new AssertionError("never heard");
+    }
+
+    @Test
+    void aSilentWatchIsGivenUpAndAnEmptyLineKeepsIt() {
+        Step.Open first = started();
+        Step.Open watch = opened(membership.told(first.watch(), whole(1), 0));
+        membership.heard(watch.watch(), 3);
+        assertEquals(List.of(), membership.tick(6.9));
+        assertEquals(List.of(new Step.Abandon(watch.watch())), membership.tick(7.1));
+        assertFalse(opened(membership.tick(7.4)).whole(), "its index still counts");
+    }
+
+    @Test
+    void anUnchangedListTellsTheModuleNothing() {
+        Step.Open first = started(entry("a", Phase.READY, 10));
+        Step.Publish change = (Step.Publish) membership.told(first.watch(),
+                whole(9, entry("a", Phase.READY, 10)), 1)
+                .get(0);
+        assertEquals(List.of(), change.told().targets());
+        assertEquals(9, membership.snapshot().version());
+    }
+
+    @Test
+    void endpointsThatNoListNamesOutlastEveryWholeList() {
+        Target broker = new Target(1_000_000, 1001, 1, 0, 20, Phase.READY);
+        Snapshot known = membership.known(whole(1, entry("a", Phase.READY, 10)), List.of(broker), 0);
+        assertEquals(List.of(1, 1_000_000), Membership.whole(known).targets().stream().map(Target::id)
+                .toList());
+        Step.Open first = opened(membership.moved(OLD, 0));
+        membership.told(first.watch(), whole(2), 1);
+        assertTrue(membership.snapshot().ready(1_000_000, 1001));
+        assertFalse(membership.snapshot().ready(1, 7));
+    }
+
+    @Test
+    void afterTheEndNoWatchIsOpened() {
+        Step.Open first = started();
+        assertEquals(List.of(new Step.Abandon(first.watch())), membership.stop());
+        assertEquals(List.of(), membership.tick(100));
+        assertEquals(List.of(), membership.moved(NEW, 101));
+    }
+
+    @Test
+    void aSourceThatIsNoneIsRefused() {
+        assertThrows(IllegalArgumentException.class, () -> membership.word("srv", whole(1), 0));
+    }
+
+    @Test
+    void aSecondSourceAddsEndpointsAndCannotOverruleADrain() {
+        Membership two = new Membership(TIMING, List.of("second"));
+        two.known(whole(1, entry("a", Phase.READY, 10)), List.of(), 0);
+        two.word("second", whole(1, entry("a", Phase.READY, 20), entry("b", Phase.READY, 21)), 1);
+        assertEquals(2, two.snapshot().count(Phase.READY));
+        assertEquals(10, two.snapshot().address(1).getPort(), "discovery ranks first");
+        Step.Open first = opened(two.moved(OLD, 1));
+        two.told(first.watch(), whole(2, entry("a", Phase.DRAINING, 10)), 2);
+        two.word("second", whole(2, entry("a", Phase.READY, 20), entry("b", Phase.READY, 21)), 3);
+        assertFalse(two.snapshot().ready(1, 7));
+        assertTrue(two.snapshot().ready(2, 7), "a list that never named it does not withdraw it");
+    }
+}
