Where no limit is reported, the first cut of a pace goes by the listed share

A destination of the kind whose reports say 0/0 ("no limit") that refuses once, with its queue full, got a pace of 0.8 times the successes of the last seconds. Ruled out there: told waits, an open breaker, slow start, want of slots, new endpoints that were not known.

Change: Control.full takes the listed share as the measure there, as it does the reported one elsewhere.

--- a/src/main/java/juniperusher/Control.java
+++ b/src/main/java/juniperusher/Control.java
@@ -570,7 +570,8 @@
         // A cold destination refuses for want of capacity: slow start answers that, not the pace.
         if (call.at >= gate.pace.cutAt && gate.rampFrom == NEVER && !gate.open && wait <= SHUT_AFTER) {
             // Guards against jams: a told wait proves a limit, which rare senders would spend on refusals.
-            double share = gate.known / settings.senders();
+            // Guards restarts: where no limit is reported, the few successes so far are no measure of the rate.
+            double share = (gate.known > 0 ? gate.known : gate.listed) / settings.senders();
             double part = Math.max(demand(gate.destination), Math.max(gate.known, LEAST_CAPACITY)
                     / settings.senders());
             gate.pace.cut(now, Math.max(gate.successes.get(now), share),
--- a/src/test/java/juniperusher/ControlTest.java
+++ b/src/test/java/juniperusher/ControlTest.java
@@ -31,6 +31,7 @@
 import juniperusher.Protocol.Refuse;
 import juniperusher.Protocol.Report;
 import juniperusher.Protocol.Send;
+import juniperusher.Protocol.Target;
 import juniperusher.Protocol.TargetList;
 import juniperusher.Protocol.Watch;
 import juniperusher.Protocol.Weight;
@@ -329,6 +330,25 @@
         assertEquals(8, sent(s.play(many)).size());
     }
 
+    /** Just after a start few successes are known: a pace by these would let what is owed expire. */
+    @Test
+    void whereNoLimitIsReportedTheFirstCutGoesByTheListedShare() {
+        Target large = new Target(1, 9, PLAIN, 0, 60, Phase.READY);
+        Script s = new Script(Script.settings(allowed(8, 100, 100), false, Weight.ROUGH), large);
+        s.play(message(1, SAFE_CLASS, 9));
+        s.end(1, Outcome.DELIVERED, 0, new Report(0, 0));
+        s.play(message(2, SAFE_CLASS, 9));
+        s.end(2, Outcome.FULL, 0, new Report(0, 0));
+        Event[] many = new Event[60];
+        for (int i = 0; i < many.length; i++) {
+            many[i] = message(20 + i, SAFE_CLASS, 9);
+        }
+        int first = sent(s.play(many)).size();
+        int later = sent(s.until(s.now + 0.5)).size();
+        assertTrue(first < 30, "a pace is set: " + first + " at once");
+        assertTrue(later >= 20, later + " in half a second, of a listed rate of 60 a second");
+    }
+
     // ---- breaker and slow start ----
 
     private static void trip(Script s, Outcome outcome) {
--- a/src/test/java/juniperusher/ImportsTest.java
+++ b/src/test/java/juniperusher/ImportsTest.java
@@ -21,6 +21,10 @@
             "net", List.of("juniperusher.http", "juniperusher.amqp", "juniperusher.cli", "juniperusher.sim"),
             "http", List.of("juniperusher.amqp", "juniperusher.cli"),
             "amqp", List.of("juniperusher.http", "juniperusher.cli", "juniperusher.sim"),
+            "membership", List.of("juniperusher.core", "juniperusher.http", "juniperusher.amqp",
+                    "juniperusher.net", "juniperusher.cli", "juniperusher.sim", "juniperusher.Control",
+                    "org.eclipse.jetty", "com.eclipsesource", "java.io", "java.nio", "java.util.concurrent",
+                    "java.lang.System", "java.net.Socket"),
             "sim", List.of("juniperusher.core", "juniperusher.http", "juniperusher.amqp", "juniperusher.net",
                     "juniperusher.cli", "org.eclipse.jetty"));
 
--- /dev/null
+++ b/src/test/java/juniperusher/http/ReplacementTest.java
@@ -0,0 +1,171 @@
+package juniperusher.http;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.eclipsesource.json.Json;
+import com.eclipsesource.json.JsonArray;
+import com.eclipsesource.json.JsonObject;
+import java.io.BufferedInputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicInteger;
+import juniperusher.core.Counters;
+import juniperusher.net.Network;
+import org.junit.jupiter.api.Test;
+
+/** 1,000 endpoints replaced at once while RPCs arrive at 100 a second. */
+class ReplacementTest {
+    private static final int ENDPOINTS = 1_000;
+    private static final int DESTINATIONS = 50;
+    private static final int PORTS = 10; // that the endpoints of one generation share
+    private static final int RPCS = 300;
+    private static final long GAP = 10; // ms between two RPCs
+    private static final long GRACE = 500; // ms after a change was told, in which the old ones may still be called
+
+    /** Endpoints that answer 200 at once and note when they were called. */
+    private static final class Generation implements AutoCloseable {
+        private final List<ServerSocket> servers = new CopyOnWriteArrayList<>();
+        private final List<Long> called = new CopyOnWriteArrayList<>();
+
+        Generation() throws IOException {
+            for (int i = 0; i < PORTS; i++) {
+                ServerSocket server = new ServerSocket(0, 200, InetAddress.getByName("127.0.0.1"));
+                servers.add(server);
+                daemon(() -> {
+                    while (true) {
+                        Socket socket = server.accept();
+                        socket.setTcpNoDelay(true);
+                        daemon(() -> serve(socket));
+                    }
+                });
+            }
+        }
+
+        private interface Work {
+            void run() throws IOException;
+        }
+
+        private static void daemon(Work work) {
+            Thread thread = new Thread(() -> {
+                try {
+                    work.run();
+                } catch (IOException e) {
+                    return; // closed
+                }
+            });
+            thread.setDaemon(true);
+            thread.start();
+        }
+
+        /** Requests without content, one after the other: a call begins once its last byte is there. */
+        private void serve(Socket socket) throws IOException {
+            InputStream in = new BufferedInputStream(socket.getInputStream());
+            OutputStream out = socket.getOutputStream();
+            int ends = 0; // of the line ends that close a head
+            for (int b = in.read(); b >= 0; b = in.read()) {
+                ends = b == '\n' ? ends + 1 : b == '\r' ? ends : 0;
+                if (ends == 2) {
+                    ends = 0;
+                    called.add(System.currentTimeMillis());
+                    out.write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+                }
+            }
+        }
+
+        String[] listed(String prefix, String state) {
+            String[] out = new String[ENDPOINTS];
+            for (int i = 0; i < ENDPOINTS; i++) {
+                out[i] = AgentStandIn.server(prefix + i, servers.get(i % PORTS).getLocalPort(), state)
+                        .replace("\"cell\":7", "\"cell\":" + i % DESTINATIONS);
+            }
+            return out;
+        }
+
+        @Override
+        public void close() throws IOException {
+            for (ServerSocket server : servers) {
+                server.close();
+            }
+        }
+    }
+
+    @Test
+    void nothingGoesToTheOldOnesAfterTheGraceAndNothingIsLost() throws Exception {
+        Path folder = Files.createTempDirectory("replacement");
+        try (Generation before = new Generation(); Generation after = new Generation();
+                AgentStandIn agent = new AgentStandIn(AgentStandIn.list(1, true, before.listed("a", "up")));
+                Network network = new Network(1)) {
+            int listen;
+            try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+                listen = free.getLocalPort();
+            }
+            JsonObject json = Json.parse(Files.readString(Path.of("src/main/resources/selftest.json"))).asObject();
+            json.set("listen", "127.0.0.1:" + listen)
+                    .set("discovery", "127.0.0.1:" + agent.address().getPort());
+            json.get("known").asObject().set("servers", new JsonArray());
+            Files.writeString(folder.resolve("c.json"), json.toString());
+            Counters counters = new Counters();
+            Platform platform = new Platform(Config.read(folder.resolve("c.json")), folder.resolve("state"),
+                    counters, network, null);
+            try {
+                await(() -> counters.text().contains("juniperusher_endpoints_ready " + (double) ENDPOINTS));
+                long told = replaceUnderLoad(agent, before, after, listen);
+                await(() -> counters.get("answered_total", "front", "http", "class", "0", "end", "delivered")
+                        == RPCS);
+                long late = before.called.stream().filter(at -> at > told + GRACE).count();
+                assertEquals(0, late, "calls to endpoints that were replaced");
+                assertTrue(after.called.size() > RPCS / 4, "only " + after.called.size() + " calls to new ones");
+                assertEquals(RPCS, before.called.size() + after.called.size(), "calls");
+            } finally {
+                platform.close();
+            }
+        }
+    }
+
+    /** When the change was told. */
+    private static long replaceUnderLoad(AgentStandIn agent, Generation before, Generation after, int listen)
+            throws Exception {
+        AtomicInteger taken = new AtomicInteger();
+        long told = 0;
+        try (Socket client = new Socket("127.0.0.1", listen)) {
+            client.setTcpNoDelay(true);
+            InputStream in = client.getInputStream();
+            for (int i = 0; i < RPCS; i++) {
+                client.getOutputStream().write(("POST /aviso-push HTTP/1.1\r\nHost: a\r\nX-Call-Id: m" + i
+                        + "\r\nX-Call-Class: aviso-push\r\nX-Budget: 5000m\r\nContent-Length: 0\r\nX-Envelope: dest="
+                        + i % DESTINATIONS + "\r\n\r\n").getBytes(StandardCharsets.US_ASCII));
+                byte[] answer = new byte["HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n".length()];
+                assertEquals(answer.length, in.readNBytes(answer, 0, answer.length));
+                taken.addAndGet(new String(answer, StandardCharsets.US_ASCII).contains("202") ? 1 : 0);
+                Thread.sleep(GAP);
+                if (i == RPCS / 3) {
+                    agent.tell(AgentStandIn.list(2, false, after.listed("b", "up")));
+                    agent.tell(AgentStandIn.list(3, false, before.listed("a", "draining")));
+                    told = System.currentTimeMillis();
+                } else if (i == 2 * RPCS / 3) {
+                    agent.tell(AgentStandIn.list(4, false, before.listed("a", "removed")));
+                }
+            }
+        }
+        assertEquals(RPCS, taken.get(), "taken on");
+        return told;
+    }
+
+    private static void await(java.util.function.BooleanSupplier condition) throws InterruptedException {
+        long until = System.currentTimeMillis() + 20_000;
+        while (!condition.getAsBoolean()) {
+            assertTrue(System.currentTimeMillis() < until, "does not come");
+            Thread.sleep(10);
+        }
+    }
+}
