--- a/src/main/java/juniperusher/Control.java
+++ b/src/main/java/juniperusher/Control.java
@@ -570,7 +570,7 @@
         // A cold destination refuses for want of capacity: slow start answers that, not the pace.
         if (call.at >= gate.pace.cutAt && gate.rampFrom == NEVER && !gate.open && wait <= SHUT_AFTER) {
             // Guards against jams: a told wait proves a limit, which rare senders would spend on refusals.
-            // Guards restarts: where no limit is reported, the few successes so far are no measure of the rate.
+            // Guards restarts: where none is reported, the few successes so far measure nothing.
             double share = (gate.known > 0 ? gate.known : gate.listed) / settings.senders();
             double part = Math.max(demand(gate.destination), Math.max(gate.known, LEAST_CAPACITY)
                     / settings.senders());
--- a/src/test/java/juniperusher/http/ReplacementTest.java
+++ b/src/test/java/juniperusher/http/ReplacementTest.java
@@ -30,7 +30,8 @@
     private static final int PORTS = 10; // that the endpoints of one generation share
     private static final int RPCS = 300;
     private static final long GAP = 10; // ms between two RPCs
-    private static final long GRACE = 500; // ms after a change was told, in which the old ones may still be called
+    // ms after a change was told, in which the old ones may still be called
+    private static final long GRACE = 500;
 
     /** Endpoints that answer 200 at once and note when they were called. */
     private static final class Generation implements AutoCloseable {
@@ -77,7 +78,8 @@
                 if (ends == 2) {
                     ends = 0;
                     called.add(System.currentTimeMillis());
-                    out.write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+                    out.write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n".getBytes(
+                            StandardCharsets.US_ASCII));
                 }
             }
         }
@@ -109,7 +111,8 @@
             try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
                 listen = free.getLocalPort();
             }
-            JsonObject json = Json.parse(Files.readString(Path.of("src/main/resources/selftest.json"))).asObject();
+            JsonObject json = Json.parse(Files.readString(Path.of("src/main/resources/selftest.json")))
+                    .asObject();
             json.set("listen", "127.0.0.1:" + listen)
                     .set("discovery", "127.0.0.1:" + agent.address().getPort());
             json.get("known").asObject().set("servers", new JsonArray());
@@ -124,7 +127,8 @@
                         == RPCS);
                 long late = before.called.stream().filter(at -> at > told + GRACE).count();
                 assertEquals(0, late, "calls to endpoints that were replaced");
-                assertTrue(after.called.size() > RPCS / 4, "only " + after.called.size() + " calls to new ones");
+                assertTrue(after.called.size() > RPCS / 4, "only " + after.called.size()
+                        + " calls to new ones");
                 assertEquals(RPCS, before.called.size() + after.called.size(), "calls");
             } finally {
                 platform.close();
@@ -142,7 +146,8 @@
             InputStream in = client.getInputStream();
             for (int i = 0; i < RPCS; i++) {
                 client.getOutputStream().write(("POST /aviso-push HTTP/1.1\r\nHost: a\r\nX-Call-Id: m" + i
-                        + "\r\nX-Call-Class: aviso-push\r\nX-Budget: 5000m\r\nContent-Length: 0\r\nX-Envelope: dest="
+                        + "\r\nX-Call-Class: aviso-push\r\nX-Budget: 5000m\r\nContent-Length: 0"
+                        + "\r\nX-Envelope: dest="
                         + i % DESTINATIONS + "\r\n\r\n").getBytes(StandardCharsets.US_ASCII));
                 byte[] answer = new byte["HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n".length()];
                 assertEquals(answer.length, in.readNBytes(answer, 0, answer.length));
