Retry storms: states, shared rates and notes beside the module, and a first laboratory

When a large destination comes back, what is held, handed in again and taken over from dead relays falls on it at once; the module's slow start sends up to 2.5 times what it takes cold, and each relay knows of its own calls alone.

X-Again is read.

--- a/src/main/java/juniperusher/Control.java
+++ b/src/main/java/juniperusher/Control.java
@@ -141,9 +141,20 @@
             pendingWake = NEVER;
         } else if (event instanceof Probed e && targets.containsKey(e.target())) {
             probed(targets.get(e.target()).gate, e.ok());
+        } else if (event instanceof Advised e) {
+            advise(destinations.computeIfAbsent(e.destination(), Destination::new), e);
         }
     }
 
+    /** Heeds what was found of a destination beside single messages, a storm for example. */
+    private void advise(Destination destination, Advised e) {
+        destination.storm.refill(now);
+        destination.storm.tokens = destination.storm.rate == NEVER ? 0 : destination.storm.tokens;
+        destination.storm.rate = e.rate();
+        destination.hold = e.hold();
+        destination.roomAt = e.returnIn() > 0 ? now + e.returnIn() : 0;
+    }
+
     // ---- a message is taken ----
 
     private void arrive(Message message) {
@@ -253,11 +264,13 @@
         if (!gate.open && silent(gate)) {
             trip(gate, "silence");
         }
-        if (gate.open && gate.toldUntil <= now) {
+        double stormAt = item.destination.storm.readyAt(now);
+        if (gate.open && gate.toldUntil <= now && stormAt <= now) {
             offerTrial(gate, target, item);
             return false;
         }
-        double at = Math.max(gate.toldUntil, Math.max(gate.pace.readyAt(now), rampReadyAt(gate)));
+        double at = Math.max(Math.max(gate.toldUntil, stormAt),
+                Math.max(gate.pace.readyAt(now), rampReadyAt(gate)));
         if (item.kind.effect() == Effect.UNSAFE && gate.failures.share(now) > UNSAFE_SHARE
                 && item.deadline - now > UNSAFE_HURRY) {
             at = Math.max(at, now + FIRST_PAUSE / 4);
@@ -290,6 +303,7 @@
             trialsOut += trial ? 1 : 0;
             gate.pace.take(now);
             gate.ramp.take(now);
+            item.destination.storm.take(now);
         }
         call.size++;
         call.open++;
@@ -417,7 +431,7 @@
 
     private void answer(Item item) {
         if (mayRefuse(item)) {
-            double after = Math.max(FIRST_PAUSE, item.destination.toldUntil() - now);
+            double after = Math.max(Math.max(FIRST_PAUSE, room(item)), item.destination.toldUntil() - now);
             actions.add(new Refuse(item.message.id(), settings.allowed().retryAfter()
                     ? Math.min(after, settings.allowed().maxRetryAfter()) : 0));
         } else {
@@ -439,23 +453,50 @@
 
     /** Sheds the least worth by room and time, where the most is held, before the held room runs out. */
     private void shed() {
-        while (items.size() > settings.allowed().held() * ROOM) {
-            Item least = null;
-            double leastWorth = NEVER;
-            for (Item item : items.values()) {
-                if (item.call == null && !item.over && mayRefuse(item)) {
-                    double worth = worth(item) / item.destination.held;
-                    if (worth < leastWorth) {
-                        least = item;
-                        leastWorth = worth;
-                    }
-                }
+        for (Destination destination : destinations.values()) {
+            while (destination.held > destination.hold && shedOne(destination)) {
+                continue; // Guards sound destinations: no storm may fill the held room
             }
-            if (least == null) {
-                return;
+        }
+        while (items.size() > settings.allowed().held() * ROOM && shedOne(null)) {
+            continue;
+        }
+    }
+
+    /** Answers the item of least worth, of one destination or of all; false if none may be refused. */
+    private boolean shedOne(Destination only) {
+        Item least = null;
+        double leastWorth = NEVER;
+        for (Item item : items.values()) {
+            if (item.call == null && !item.over && mayRefuse(item)
+                    && (only == null || item.destination == only)) {
+                double worth = worth(item) / item.destination.held;
+                if (worth < leastWorth) {
+                    least = item;
+                    leastWorth = worth;
+                }
             }
+        }
+        if (least != null) {
             answer(least);
         }
+        return least != null;
+    }
+
+    /**
+     * Seconds until there will be room for the item; of those refused in a storm each is told a place of its
+     * own.
+     */
+    private double room(Item item) {
+        Destination destination = item.destination;
+        if (destination.roomAt == 0) {
+            return 0;
+        }
+        destination.roomAt = Math.max(destination.roomAt, now)
+                + (0.5 + random.nextDouble()) / destination.storm.rate;
+        double most = settings.allowed().maxRetryAfter(); // beyond it all would return together
+        double in = Math.min(destination.roomAt - now, most * (0.5 + random.nextDouble() / 2));
+        return Math.min(in, Math.max(0, item.deadline - now));
     }
 
     // ---- the destination is judged ----
@@ -850,7 +891,10 @@
         final int id;
         final List<TargetState> targets = new ArrayList<>();
         Gate shared; // where routes are not apart; outlives its targets, as waits and paces do
+        final Bucket storm = new Bucket(BURST); // what this sender may call there in a storm
         int held, taken;
+        int hold = Integer.MAX_VALUE;
+        double roomAt; // when there will be room in a storm for the next one refused
 
         Destination(int id) {
             this.id = id;
--- a/src/main/java/juniperusher/Protocol.java
+++ b/src/main/java/juniperusher/Protocol.java
@@ -131,7 +131,7 @@
 
     /** Something that the sender is told. */
     public sealed interface Event permits TargetList, ListFailed, Arrived, Ended, Withdrawn, Woken, Probed,
-            Noted, Streaming {
+            Noted, Streaming, Advised {
     }
 
     /** Phase of a listed target; it tells nothing of health. */
@@ -161,9 +161,16 @@
      * @param key          key of its order, 0 for none
      * @param timeLeft     how long it may still be delivered
      * @param attempts     attempts it has had already, all known never to have run or harmless to repeat
+     * @param again        it is marked as handed in again
      */
     public record Message(int id, int messageClass, int tenant, int destination, long key, double timeLeft,
-            int attempts) {
+            int attempts, boolean again) {
+        /** A message that is not marked as handed in again. */
+        public Message(int id, int messageClass, int tenant, int destination, long key, double timeLeft,
+                int attempts) {
+            this(id, messageClass, tenant, destination, key, timeLeft, attempts, false);
+        }
+
         /** A message that has had no attempt. */
         public Message(int id, int messageClass, int tenant, int destination, long key, double timeLeft) {
             this(id, messageClass, tenant, destination, key, timeLeft, 0);
@@ -228,6 +235,16 @@
     public record Streaming(int message, int attempt) implements Event {
     }
 
+    /**
+     * What was found of a destination beside single messages; it holds until the next such word.
+     *
+     * @param rate     calls a second that this sender may make there, infinite for no bound
+     * @param hold     messages that may be held for it
+     * @param returnIn when there will be room for another message, 0 if nothing is known of that
+     */
+    public record Advised(int destination, double rate, int hold, double returnIn) implements Event {
+    }
+
     // ---- actions ----
 
     /** Something that the sender is to do; actions are carried out in their order. */
--- a/src/main/java/juniperusher/cli/Main.java
+++ b/src/main/java/juniperusher/cli/Main.java
@@ -20,8 +20,10 @@
 import juniperusher.http.Platform;
 import juniperusher.http.WarmUp;
 import juniperusher.net.Network;
+import juniperusher.settings.OperatorSettings;
 import juniperusher.sim.SimHost;
 import juniperusher.sim.WireException;
+import juniperusher.storm.StormSettings;
 import org.slf4j.LoggerFactory;
 
 /** The command line. */
@@ -64,7 +66,8 @@
         JCommander commands = JCommander.newBuilder().programName("juniperusher")
                 .addCommand("serve", new Serve()).addCommand("simhost", new HostSimulator())
                 .addCommand("counters", new ShowCounters()).addCommand("state", new ShowState())
-                .addCommand("selftest", new RunSelfTest())
+                .addCommand("selftest", new RunSelfTest()).addCommand("settings", new ShowSettings())
+                .addCommand("lab", new Lab())
                 .addCommand("version", new ShowVersion()).addCommand("help", new Help()).build();
         commands.parse(args);
         if (commands.getParsedCommand() == null) {
@@ -94,6 +97,11 @@
                 + "which destinations are brokers; without it that front is off")
         private String amqp;
 
+        @Parameter(names = "--settings",
+                description = "The operator's own TOML file; without it all that it may "
+                + "switch on is off")
+        private String settings;
+
         @Parameter(names = "--remote-write",
                 description = "Address that takes the counters by Prometheus remote "
                 + "write, as http://host:port/path; without it none are sent")
@@ -108,6 +116,7 @@
             ReloadSignal reloads = new ReloadSignal(file);
             Config config = Config.read(file);
             Path state = Path.of(variable("RELAY_STATE"));
+            StormSettings storms = settings == null ? null : SettingsFile.read(settings).storm();
             WarmUp.run(config, state, WARM_UP);
             Counters counters = new Counters();
             Network network = new Network(config.settings().settings().allowed().connectTimeout(),
@@ -115,7 +124,7 @@
             Extension extension = amqp == null ? null : new AmqpExtension(AmqpConfig.read(Path.of(amqp)),
                     config.classes(), config.settings().settings(), network);
             Platform platform = new Platform(config, state, counters, network,
-                    extension);
+                    extension, storms);
             LoggerFactory.getLogger(Main.class).info("serving on {}", config.listen());
             if (remoteWrite != null) {
                 new RemoteWrite(remoteWrite, config.name(), Math.max(1, every) * 1000L, counters::text,
@@ -169,6 +178,24 @@
         }
     }
 
+    @Parameters(commandDescription =
+            "Prints all settings of the operator's file with their defaults, or checks files")
+    private static final class ShowSettings implements Command {
+        @Parameter(description = "files to check; without any, the defaults are printed")
+        private List<String> files = new ArrayList<>();
+
+        @Override
+        public int run() throws IOException {
+            if (files.isEmpty()) {
+                System.out.print(OperatorSettings.shown());
+            }
+            for (String file : files) {
+                System.out.println(file + ": " + SettingsFile.read(file));
+            }
+            return 0;
+        }
+    }
+
     @Parameters(commandDescription = "Starts a relay on loopback for a moment and hands it one RPC")
     private static final class RunSelfTest implements Command {
         @Override
--- /dev/null
+++ b/src/main/java/juniperusher/core/Companion.java
@@ -0,0 +1,18 @@
+package juniperusher.core;
+
+import java.util.List;
+import juniperusher.Protocol.Action;
+import juniperusher.Protocol.Event;
+
+/**
+ * Sees each round's events before the module does and its actions after it, and may add to both. It is called
+ * by
+ * the thread that owns the module and must not wait for anything.
+ */
+public interface Companion {
+    /** Events that the module is given beside these; the time is that of the round, in seconds. */
+    List<Event> before(double now, List<Event> events);
+
+    /** Actions that are carried out after these. */
+    List<Action> after(double now, List<Action> actions);
+}
--- a/src/main/java/juniperusher/core/DecisionLoop.java
+++ b/src/main/java/juniperusher/core/DecisionLoop.java
@@ -24,6 +24,7 @@
     private static final Logger LOG = LoggerFactory.getLogger(DecisionLoop.class);
 
     private final Control control;
+    private final Companion companion;
     private final long gap;
     private final Executor executor;
     private final long origin = System.nanoTime();
@@ -38,8 +39,10 @@
         void carryOut(List<Action> actions);
     }
 
-    DecisionLoop(Control control, double gap, Executor executor) {
+    /** {@code companion} may be null. */
+    DecisionLoop(Control control, Companion companion, double gap, Executor executor) {
         this.control = control;
+        this.companion = companion;
         this.gap = (long) (gap * 1e9);
         this.executor = executor;
     }
@@ -100,7 +103,13 @@
         if (events.isEmpty() || stopped) {
             return;
         }
+        if (companion != null) {
+            events.addAll(companion.before(now, events));
+        }
         List<Action> actions = control.decide(now, events);
+        if (companion != null) {
+            actions.addAll(companion.after(now, actions));
+        }
         for (Action action : actions) {
             if (action instanceof WakeAt wake) {
                 wakes.add(wake);
--- a/src/main/java/juniperusher/core/Relay.java
+++ b/src/main/java/juniperusher/core/Relay.java
@@ -69,16 +69,19 @@
         void send(int to, byte[] note);
     }
 
-    /** A relay that keeps its journal in {@code state}, of at most {@code diskBytes}. */
+    /**
+     * A relay that keeps its journal in {@code state}, of at most {@code diskBytes}; {@code companion} may be
+     * null.
+     */
     public Relay(Settings settings, long seed, double gap, Path state, long diskBytes, Counters counters,
-            Subchannels subchannels, NoteSender notes) throws IOException {
+            Subchannels subchannels, NoteSender notes, Companion companion) throws IOException {
         this.settings = settings;
         this.counters = counters;
         this.subchannels = subchannels;
         this.notes = notes;
         timers.setRemoveOnCancelPolicy(true); // else each answered call's timer stays up to its time-out
         journal = new Journal(state, diskBytes, settings.allowed().held());
-        loop = new DecisionLoop(new Control(settings, seed), gap, this::carryOut);
+        loop = new DecisionLoop(new Control(settings, seed), companion, gap, this::carryOut);
         counters.gauge("held", held::size);
         counters.gauge("journal_bytes", journal::bytes);
     }
@@ -182,7 +185,8 @@
         RpcRequest request = rpc.request();
         // Guards the final answer's time: what waits for a round, while the core is busy, has less left.
         loop.postLate(() -> new Arrived(new Message(rpc.number(), request.messageClass(), 0,
-                request.destination(), 0L, Math.max(0, rpc.timeLeft()), attemptsUsed)));
+                request.destination(), 0L, Math.max(0, rpc.timeLeft()), attemptsUsed,
+                request.again())));
     }
 
     // ---- what the module is told ----
--- a/src/main/java/juniperusher/core/RpcRequest.java
+++ b/src/main/java/juniperusher/core/RpcRequest.java
@@ -11,9 +11,16 @@
  * @param returnAddress where its end is told; the front's own text, may be empty
  * @param once          a repeat of its id, while it is held or lately over, is not taken on a second time
  * @param body          the bytes passed on
+ * @param again         its client marks it as handed in again; not known any more after a restart
  */
 public record RpcRequest(String id, String front, int messageClass, int destination, long deadline,
-        String returnAddress, boolean once, byte[] body) {
+        String returnAddress, boolean once, byte[] body, boolean again) {
+    /** An RPC that is not marked as handed in again. */
+    public RpcRequest(String id, String front, int messageClass, int destination, long deadline,
+            String returnAddress, boolean once, byte[] body) {
+        this(id, front, messageClass, destination, deadline, returnAddress, once, body, false);
+    }
+
     /** What tells it from every other RPC held. */
     public String key() {
         return front + ' ' + id;
--- a/src/main/java/juniperusher/http/Config.java
+++ b/src/main/java/juniperusher/http/Config.java
@@ -32,11 +32,12 @@
  * @param kinds     names of the kinds of destination, in the settings' order
  * @param zones     names of the zones, in the settings' order
  * @param gap       shortest time between two rounds in seconds
+ * @param number    this relay's place among the relays of its tier, as in {@code peers}
  */
 public record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed,
         long diskBytes, int descriptors, InetSocketAddress peerListen, List<InetSocketAddress> peers,
         InetSocketAddress peersAll, JsonObject known, SettingsParser.Parsed settings, List<String> classes,
-        List<String> kinds, List<String> zones, double gap) {
+        List<String> kinds, List<String> zones, double gap, int number) {
 
     /** Reads the file; an {@link IllegalArgumentException} says in one line what is wrong with it. */
     public static Config read(Path file) throws IOException {
@@ -70,7 +71,7 @@
                 optional(json.get("peer_listen")), peers, optional(json.get("peers_all")),
                 json.get("known").asObject(), SettingsParser.parse(lines.toString()), classes,
                 names(settings.get("kinds")), names(settings.get("azs")),
-                settings.getDouble("quantumS", 0.005));
+                settings.getDouble("quantumS", 0.005), settings.getInt("me", 0));
     }
 
     /**
@@ -79,13 +80,13 @@
      */
     Config movedTo(Config newer) {
         return new Config(name, listen, newer.discovery, seed, diskBytes, descriptors, peerListen,
-                newer.peers, newer.peersAll, known, settings, classes, kinds, zones, gap);
+                newer.peers, newer.peersAll, known, settings, classes, kinds, zones, gap, number);
     }
 
     /** This configuration without relays to send notes to. */
     Config alone() {
         return new Config(name, listen, discovery, seed, diskBytes, descriptors, null, List.of(), null, known,
-                settings, classes, kinds, zones, gap);
+                settings, classes, kinds, zones, gap, number);
     }
 
     private static List<String> names(JsonValue value) {
--- a/src/main/java/juniperusher/http/Platform.java
+++ b/src/main/java/juniperusher/http/Platform.java
@@ -12,6 +12,7 @@
 import juniperusher.core.Subchannels;
 import juniperusher.net.HttpPool;
 import juniperusher.net.Network;
+import juniperusher.storm.StormSettings;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -37,6 +38,12 @@
     /** Starts a relay that keeps its journal in {@code state}; {@code extension} may be null. */
     public Platform(Config first, Path state, Counters counters, Network network, Extension extension)
             throws Exception {
+        this(first, state, counters, network, extension, null);
+    }
+
+    /** The same, with the storm package on where {@code storms} is not null. */
+    public Platform(Config first, Path state, Counters counters, Network network, Extension extension,
+            StormSettings storms) throws Exception {
         this.counters = counters;
         config = new AtomicReference<>(first);
         this.network = network;
@@ -51,7 +58,8 @@
         Subchannels usual = new HttpSubchannels(first, pool, network, resolver);
         Subchannels subchannels = extension == null ? usual : new RoutedSubchannels(usual, extension);
         relay = new Relay(first.settings().settings(), first.seed(), first.gap(), state,
-                first.diskBytes(), counters, subchannels, peers::send);
+                first.diskBytes(), counters, subchannels, peers::send,
+                storms == null ? null : new StormCompanion(storms, first, counters));
         made[0] = relay;
         Notices notices = new Notices(() -> config.get().discovery(), pool, network);
         counters.gauge("notices_waiting", notices::waiting);
--- a/src/main/java/juniperusher/http/PlatformFront.java
+++ b/src/main/java/juniperusher/http/PlatformFront.java
@@ -135,7 +135,8 @@
         // Guards the end of the RPC's time, which counts from the client's sending: it may have waited here.
         budget -= Math.min(UNREAD, budget / 10);
         return new RpcRequest(id, name(), place, destination(request.get("X-Envelope")),
-                System.currentTimeMillis() + budget, "", false, request.body());
+                System.currentTimeMillis() + budget, "", false, request.body(),
+                request.get("X-Again") != null);
     }
 
     private static int destination(String envelope) {
--- a/src/test/java/juniperusher/ImportsTest.java
+++ b/src/test/java/juniperusher/ImportsTest.java
@@ -25,6 +25,14 @@
                     "juniperusher.net", "juniperusher.cli", "juniperusher.sim", "juniperusher.Control",
                     "org.eclipse.jetty", "com.eclipsesource", "java.io", "java.nio", "java.util.concurrent",
                     "java.lang.System", "java.net.Socket"),
+            "storm", List.of("juniperusher.core", "juniperusher.http", "juniperusher.amqp",
+                    "juniperusher.net", "juniperusher.cli", "juniperusher.sim", "juniperusher.Control",
+                    "juniperusher.membership", "juniperusher.lab", "org.eclipse.jetty", "java.io", "java.net",
+                    "java.util.concurrent", "java.lang.System"),
+            "lab", List.of("juniperusher.http", "juniperusher.amqp", "juniperusher.net", "juniperusher.cli",
+                    "org.eclipse.jetty", "java.io", "java.net", "java.util.concurrent"),
+            "settings", List.of("juniperusher.core", "juniperusher.http", "juniperusher.amqp",
+                    "juniperusher.net", "juniperusher.cli", "juniperusher.sim", "org.eclipse.jetty"),
             "sim", List.of("juniperusher.core", "juniperusher.http", "juniperusher.amqp", "juniperusher.net",
                     "juniperusher.cli", "org.eclipse.jetty"));
 
--- a/src/test/java/juniperusher/core/CallsTest.java
+++ b/src/test/java/juniperusher/core/CallsTest.java
@@ -77,7 +77,7 @@
         heard.clear();
         var file = config();
         relay = new Relay(Config.read(file).settings().settings(), 1, 0.005,
-                file.resolveSibling("state"), 3 << 20, new Counters(), stuck, (to, note) -> { });
+                file.resolveSibling("state"), 3 << 20, new Counters(), stuck, (to, note) -> { }, null);
     }
 
     private Rpc rpc(int number, int messageClass, long left) {
--- a/src/test/java/juniperusher/http/ReplacementTest.java
+++ b/src/test/java/juniperusher/http/ReplacementTest.java
@@ -6,18 +6,16 @@
 import com.eclipsesource.json.Json;
 import com.eclipsesource.json.JsonArray;
 import com.eclipsesource.json.JsonObject;
-import java.io.BufferedInputStream;
 import java.io.IOException;
 import java.io.InputStream;
-import java.io.OutputStream;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
-import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicInteger;
 import juniperusher.core.Counters;
 import juniperusher.net.Network;
@@ -33,61 +31,24 @@
     // ms after a change was told, in which the old ones may still be called
     private static final long GRACE = 500;
 
-    /** Endpoints that answer 200 at once and note when they were called. */
+    /** Endpoints that share some stand-ins. */
     private static final class Generation implements AutoCloseable {
-        private final List<ServerSocket> servers = new CopyOnWriteArrayList<>();
-        private final List<Long> called = new CopyOnWriteArrayList<>();
+        private final List<EndpointStandIn> servers = new ArrayList<>();
 
         Generation() throws IOException {
             for (int i = 0; i < PORTS; i++) {
-                ServerSocket server = new ServerSocket(0, 200, InetAddress.getByName("127.0.0.1"));
-                servers.add(server);
-                daemon(() -> {
-                    while (true) {
-                        Socket socket = server.accept();
-                        socket.setTcpNoDelay(true);
-                        daemon(() -> serve(socket));
-                    }
-                });
+                servers.add(new EndpointStandIn());
             }
         }
 
-        private interface Work {
-            void run() throws IOException;
-        }
-
-        private static void daemon(Work work) {
-            Thread thread = new Thread(() -> {
-                try {
-                    work.run();
-                } catch (IOException e) {
-                    return; // closed
-                }
-            });
-            thread.setDaemon(true);
-            thread.start();
-        }
-
-        /** Requests without content, one after the other: a call begins once its last byte is there. */
-        private void serve(Socket socket) throws IOException {
-            InputStream in = new BufferedInputStream(socket.getInputStream());
-            OutputStream out = socket.getOutputStream();
-            int ends = 0; // of the line ends that close a head
-            for (int b = in.read(); b >= 0; b = in.read()) {
-                ends = b == '\n' ? ends + 1 : b == '\r' ? ends : 0;
-                if (ends == 2) {
-                    ends = 0;
-                    called.add(System.currentTimeMillis());
-                    out.write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n".getBytes(
-                            StandardCharsets.US_ASCII));
-                }
-            }
+        List<Long> called() {
+            return servers.stream().flatMap(server -> server.called.stream()).toList();
         }
 
         String[] listed(String prefix, String state) {
             String[] out = new String[ENDPOINTS];
             for (int i = 0; i < ENDPOINTS; i++) {
-                out[i] = AgentStandIn.server(prefix + i, servers.get(i % PORTS).getLocalPort(), state)
+                out[i] = AgentStandIn.server(prefix + i, servers.get(i % PORTS).port(), state)
                         .replace("\"cell\":7", "\"cell\":" + i % DESTINATIONS);
             }
             return out;
@@ -95,7 +56,7 @@
 
         @Override
         public void close() throws IOException {
-            for (ServerSocket server : servers) {
+            for (EndpointStandIn server : servers) {
                 server.close();
             }
         }
@@ -125,11 +86,11 @@
                 long told = replaceUnderLoad(agent, before, after, listen);
                 await(() -> counters.get("answered_total", "front", "http", "class", "0", "end", "delivered")
                         == RPCS);
-                long late = before.called.stream().filter(at -> at > told + GRACE).count();
+                long late = before.called().stream().filter(at -> at > told + GRACE).count();
                 assertEquals(0, late, "calls to endpoints that were replaced");
-                assertTrue(after.called.size() > RPCS / 4, "only " + after.called.size()
+                assertTrue(after.called().size() > RPCS / 4, "only " + after.called().size()
                         + " calls to new ones");
-                assertEquals(RPCS, before.called.size() + after.called.size(), "calls");
+                assertEquals(RPCS, before.called().size() + after.called().size(), "calls");
             } finally {
                 platform.close();
             }
--- /dev/null
+++ b/src/test/java/juniperusher/storm/StormNoteTest.java
@@ -0,0 +1,74 @@
+package juniperusher.storm;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.Size;
+import org.junit.jupiter.api.Test;
+
+class StormNoteTest {
+    private static final StormNote.Entry ENTRY = new StormNote.Entry(7, true, 12.34, Double.POSITIVE_INFINITY,
+            300, 2,
+            0.5, new Shares.Echo(1000.123, 0.25));
+
+    private static byte[] full() {
+        List<StormNote.Entry> entries = new ArrayList<>();
+        for (int i = 0; i < StormNote.MOST_ENTRIES; i++) {
+            entries.add(new StormNote.Entry(i, false, 1, 2, i, -1, 0, new Shares.Echo(0, 0)));
+        }
+        return new StormNote(99.5, entries).bytes();
+    }
+
+    @Test
+    void whatIsWrittenIsRead() {
+        StormNote read = StormNote.read(new StormNote(1234.5, List.of(ENTRY)).bytes());
+        assertEquals(1234.5, read.sentAt());
+        StormNote.Entry entry = read.entries().get(0);
+        assertEquals(7, entry.destination());
+        assertTrue(entry.out());
+        assertEquals(12.34, entry.outAge(), 0.011);
+        assertEquals(Double.POSITIVE_INFINITY, entry.backAge());
+        assertEquals(300, entry.owed());
+        assertEquals(2, entry.to());
+        assertEquals(1000.123, entry.echo().stamp(), 0.0011);
+        assertTrue(entry.echo().stamp() <= 1000.123 && entry.echo().age() <= 0.25, "never later than it was");
+        assertTrue(entry.part() <= 0.5 && entry.part() > 0.49, "never more than was lent");
+    }
+
+    @Test
+    void theFullestNoteFitsIntoADatagram() {
+        assertTrue(full().length <= StormNote.MOST_BYTES, full().length + " bytes");
+        assertEquals(StormNote.MOST_ENTRIES, StormNote.read(full()).entries().size());
+        assertThrows(IllegalArgumentException.class, () -> new StormNote(1, java.util.Collections.nCopies(
+                StormNote.MOST_ENTRIES + 1, ENTRY)));
+    }
+
+    @Test
+    void aNoteOfAnotherVersionOrCutAtAnyByteOrWithAnyBitTurnedSaysNothing() {
+        byte[] good = full();
+        for (int length = 0; length < good.length; length++) {
+            assertNull(StormNote.read(Arrays.copyOf(good, length)), length + " bytes");
+        }
+        for (int bit = 0; bit < good.length * 8; bit++) {
+            byte[] spoilt = good.clone();
+            spoilt[bit / 8] ^= (byte) (1 << bit % 8);
+            assertNull(StormNote.read(spoilt), "bit " + bit);
+        }
+    }
+
+    @Property(tries = 2_000, seed = "20261201")
+    void noBytesMakeItFail(@ForAll @Size(max = 300) byte[] bytes) {
+        StormNote note = StormNote.read(bytes);
+        if (note != null) {
+            assertArrayEquals(bytes, note.bytes());
+        }
+    }
+}
