--- a/src/main/java/juniperusher/lab/DestinationModel.java
+++ b/src/main/java/juniperusher/lab/DestinationModel.java
@@ -105,11 +105,6 @@
         };
     }
 
-    /** When it was last back from an outage. */
-    double backAt() {
-        return outUntil;
-    }
-
     /** How often it has fallen over. */
     int fell() {
         return fell;
--- a/src/main/java/juniperusher/lab/StormExperiment.java
+++ b/src/main/java/juniperusher/lab/StormExperiment.java
@@ -8,7 +8,6 @@
 import java.util.Map;
 import java.util.PriorityQueue;
 import java.util.SplittableRandom;
-import java.util.TreeMap;
 import juniperusher.Control;
 import juniperusher.Protocol.Action;
 import juniperusher.Protocol.Allowed;
@@ -517,15 +516,4 @@
         }
         return out;
     }
-
-    static Map<String, Double> means(Map<Plan, Result> results) {
-        Map<String, Double> out = new TreeMap<>();
-        results.values().forEach(result -> {
-            out.merge("worth", result.worth() / results.size(), Double::sum);
-            out.merge("struck", result.struck() / results.size(), Double::sum);
-            out.merge("soundP99", result.soundP99() / results.size(), Double::sum);
-            out.merge("above", result.above(), Double::max);
-        });
-        return out;
-    }
 }
--- a/src/main/java/juniperusher/storm/DestinationStorm.java
+++ b/src/main/java/juniperusher/storm/DestinationStorm.java
@@ -28,7 +28,6 @@
     private final Fading turnedAway = new Fading(SPAN);
     private boolean marked;
     private StormState state = StormState.CALM;
-    private double since;
     private double listed;
     private double reported;
     private int owed;
@@ -152,25 +151,24 @@
         quietFrom = !little || out ? Double.NaN : Double.isNaN(quietFrom) ? now : quietFrom;
         boolean quiet = now - quietFrom >= settings.quiet();
         return switch (state) {
-            case CALM -> out ? to(StormState.STORM, now, "outage")
-                    : share > settings.againShare() ? to(StormState.STORM, now, "handed in again")
-                    : much ? to(StormState.STORM, now, "owed") : null;
+            case CALM -> out ? to(StormState.STORM, "outage")
+                    : share > settings.againShare() ? to(StormState.STORM, "handed in again")
+                    : much ? to(StormState.STORM, "owed") : null;
             case STORM -> out ? null : backAt > outFrom && now - backAt < rules.warmWithin()
-                    ? to(StormState.RECOVERING, now, "returned")
-                    : quiet ? to(StormState.CALM, now, "over") : null;
-            case RECOVERING -> out ? to(StormState.STORM, now, "fell again")
+                    ? to(StormState.RECOVERING, "returned")
+                    : quiet ? to(StormState.CALM, "over") : null;
+            case RECOVERING -> out ? to(StormState.STORM, "fell again")
                     : now - backAt < rules.warmWithin() ? null
-                    : quiet ? to(StormState.CALM, now, "warm") : to(StormState.STORM, now, "warm, much owed");
+                    : quiet ? to(StormState.CALM, "warm") : to(StormState.STORM, "warm, much owed");
         };
     }
 
-    private Change to(StormState next, double now, String reason) {
+    private Change to(StormState next, String reason) {
         Change change = new Change(state, next, reason);
         if (state == StormState.CALM || next == StormState.CALM) {
             cut = 1;
         }
         state = next;
-        since = now;
         return change;
     }
 
@@ -204,10 +202,6 @@
         return state;
     }
 
-    double since() {
-        return since;
-    }
-
     boolean out() {
         return out;
     }
--- a/src/test/java/juniperusher/core/CallsTest.java
+++ b/src/test/java/juniperusher/core/CallsTest.java
@@ -36,8 +36,21 @@
     private Relay relay;
     private boolean cleared;
 
+    /** Subchannels of which nothing but calls is asked. */
+    private abstract static class CallsOnly implements Subchannels {
+        @Override
+        public void probe(Target subchannel, Probed probed) {
+            throw new UnsupportedOperationException();
+        }
+
+        @Override
+        public void closeIdle(Target subchannel) {
+            throw new UnsupportedOperationException();
+        }
+    }
+
     /** Calls that stay out until the test ends them. */
-    private final Subchannels stuck = new Subchannels() {
+    private final Subchannels stuck = new CallsOnly() {
         @Override
         public Call call(Target subchannel, List<RpcRequest> rpcs, double timeout, Clearance clearance,
                 Results results) {
@@ -50,16 +63,6 @@
                 }
             };
         }
-
-        @Override
-        public void probe(Target subchannel, Probed probed) {
-            throw new UnsupportedOperationException();
-        }
-
-        @Override
-        public void closeIdle(Target subchannel) {
-            throw new UnsupportedOperationException();
-        }
     };
 
     static java.nio.file.Path config() throws java.io.IOException {
@@ -92,22 +95,12 @@
     /** Guards against an RPC that nobody answers for: only the last to join starts the call. */
     @Test
     public void aCallThatFailsAtItsStartEndsForAllThatShareIt() {
-        Subchannels broken = new Subchannels() {
+        Subchannels broken = new CallsOnly() {
             @Override
             public Call call(Target subchannel, List<RpcRequest> rpcs, double timeout, Clearance clearance,
                     Results results) {
                 throw new IllegalStateException("as the test wants");
             }
-
-            @Override
-            public void probe(Target subchannel, Probed probed) {
-                throw new UnsupportedOperationException();
-            }
-
-            @Override
-            public void closeIdle(Target subchannel) {
-                throw new UnsupportedOperationException();
-            }
         };
         SharedCall call = new SharedCall(TARGET, broken, () -> true, timers, heard::add);
         Rpc first = rpc(1, 0, 5_000);
