Stand-ins and their tests share one base: server, configuration, waiting

Cause: the review of the change found the same server loop in two stand-ins, the same set-up of a relay in two tests and the same wait in three.

Change: http.StandIn holds them once; no check was changed or taken out.

--- a/src/test/java/juniperusher/http/AgentStandIn.java
+++ b/src/test/java/juniperusher/http/AgentStandIn.java
@@ -4,9 +4,7 @@
 import java.io.IOException;
 import java.io.InputStreamReader;
 import java.io.OutputStream;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -14,7 +12,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 
 /** Discovery's agent, as its protocol describes it, with the ways in which it can fail. */
-final class AgentStandIn implements AutoCloseable {
+final class AgentStandIn extends StandIn {
     /** How a request for the whole list is answered. */
     enum Mood { USUAL, SILENT, CUT_IN_HALF, NOT_JSON, NO_ADDRESS, REFUSED }
 
@@ -24,33 +22,8 @@
     final List<String> asked = new CopyOnWriteArrayList<>();
     private final List<Socket> sockets = new CopyOnWriteArrayList<>();
     private final List<Socket> watches = new CopyOnWriteArrayList<>();
-    private final ServerSocket server = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
-
     AgentStandIn(String list) throws IOException {
         this.list = list;
-        spawn(() -> {
-            while (true) {
-                Socket socket = server.accept();
-                sockets.add(socket);
-                spawn(() -> serve(socket));
-            }
-        });
-    }
-
-    private interface Work {
-        void run() throws Exception;
-    }
-
-    private static void spawn(Work work) {
-        Thread thread = new Thread(() -> {
-            try {
-                work.run();
-            } catch (Exception e) {
-                return; // the other side or the test has closed the socket
-            }
-        }, "agent-stand-in");
-        thread.setDaemon(true);
-        thread.start();
     }
 
     static String list(long version, boolean whole, String... servers) {
@@ -73,7 +46,9 @@
         return watches.size();
     }
 
-    private void serve(Socket socket) throws Exception {
+    @Override
+    void serve(Socket socket) throws Exception {
+        sockets.add(socket);
         BufferedReader in = new BufferedReader(new InputStreamReader(socket.getInputStream(),
                 StandardCharsets.US_ASCII));
         for (String line = in.readLine(); line != null; line = in.readLine()) {
@@ -145,7 +120,7 @@
 
     @Override
     public void close() throws IOException {
-        server.close();
+        super.close();
         hangUp();
     }
 }
--- a/src/test/java/juniperusher/http/EndpointStandIn.java
+++ b/src/test/java/juniperusher/http/EndpointStandIn.java
@@ -4,51 +4,22 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
 
 /** An endpoint that notes when it is called and answers at once with the status of the moment. */
-final class EndpointStandIn implements AutoCloseable {
+final class EndpointStandIn extends StandIn {
     volatile String status = "200 OK";
     final List<Long> called = new CopyOnWriteArrayList<>(); // wall clock in ms
-    private final ServerSocket server = new ServerSocket(0, 200, InetAddress.getByName("127.0.0.1"));
 
     EndpointStandIn() throws IOException {
-        daemon(() -> {
-            while (true) {
-                Socket socket = server.accept();
-                socket.setTcpNoDelay(true);
-                daemon(() -> serve(socket));
-            }
-        });
-    }
-
-    private interface Work {
-        void run() throws IOException;
-    }
-
-    private static void daemon(Work work) {
-        Thread thread = new Thread(() -> {
-            try {
-                work.run();
-            } catch (IOException e) {
-                return; // closed
-            }
-        }, "endpoint-stand-in");
-        thread.setDaemon(true);
-        thread.start();
-    }
-
-    int port() {
-        return server.getLocalPort();
     }
 
     /** Requests without content, one after the other: a call begins once its last byte is there. */
-    private void serve(Socket socket) throws IOException {
+    @Override
+    void serve(Socket socket) throws IOException {
         InputStream in = new BufferedInputStream(socket.getInputStream());
         OutputStream out = socket.getOutputStream();
         int ends = 0; // of the line ends that close a head
@@ -62,9 +33,4 @@
             }
         }
     }
-
-    @Override
-    public void close() throws IOException {
-        server.close();
-    }
 }
--- a/src/test/java/juniperusher/http/ReplacementTest.java
+++ b/src/test/java/juniperusher/http/ReplacementTest.java
@@ -3,13 +3,8 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import com.eclipsesource.json.Json;
-import com.eclipsesource.json.JsonArray;
-import com.eclipsesource.json.JsonObject;
 import java.io.IOException;
 import java.io.InputStream;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
@@ -68,23 +63,16 @@
         try (Generation before = new Generation(); Generation after = new Generation();
                 AgentStandIn agent = new AgentStandIn(AgentStandIn.list(1, true, before.listed("a", "up")));
                 Network network = new Network(1)) {
-            int listen;
-            try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-                listen = free.getLocalPort();
-            }
-            JsonObject json = Json.parse(Files.readString(Path.of("src/main/resources/selftest.json")))
-                    .asObject();
-            json.set("listen", "127.0.0.1:" + listen)
-                    .set("discovery", "127.0.0.1:" + agent.address().getPort());
-            json.get("known").asObject().set("servers", new JsonArray());
-            Files.writeString(folder.resolve("c.json"), json.toString());
+            int listen = StandIn.unused();
             Counters counters = new Counters();
-            Platform platform = new Platform(Config.read(folder.resolve("c.json")), folder.resolve("state"),
-                    counters, network, null);
+            Platform platform = new Platform(StandIn.config(folder, listen, agent.port()),
+                    folder.resolve("state"), counters, network, null);
             try {
-                await(() -> counters.text().contains("juniperusher_endpoints_ready " + (double) ENDPOINTS));
+                StandIn.await("endpoints or ends", () -> counters.text()
+                        .contains("juniperusher_endpoints_ready " + (double) ENDPOINTS));
                 long told = replaceUnderLoad(agent, before, after, listen);
-                await(() -> counters.get("answered_total", "front", "http", "class", "0", "end", "delivered")
+                StandIn.await("endpoints or ends", () -> counters.get("answered_total", "front", "http",
+                        "class", "0", "end", "delivered")
                         == RPCS);
                 long late = before.called().stream().filter(at -> at > told + GRACE).count();
                 assertEquals(0, late, "calls to endpoints that were replaced");
@@ -126,12 +114,4 @@
         assertEquals(RPCS, taken.get(), "taken on");
         return told;
     }
-
-    private static void await(java.util.function.BooleanSupplier condition) throws InterruptedException {
-        long until = System.currentTimeMillis() + 20_000;
-        while (!condition.getAsBoolean()) {
-            assertTrue(System.currentTimeMillis() < until, "does not come");
-            Thread.sleep(10);
-        }
-    }
 }
--- a/src/test/java/juniperusher/http/ResolverTest.java
+++ b/src/test/java/juniperusher/http/ResolverTest.java
@@ -4,7 +4,6 @@
 import static juniperusher.http.AgentStandIn.server;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
-import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.eclipsesource.json.Json;
 import com.eclipsesource.json.JsonObject;
@@ -13,7 +12,6 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.TreeMap;
-import java.util.function.BooleanSupplier;
 import juniperusher.Protocol.Phase;
 import juniperusher.core.Counters;
 import juniperusher.http.AgentStandIn.Mood;
@@ -27,8 +25,6 @@
 /** The watch on discovery over sockets, against agents that fail on cue. */
 class ResolverTest {
     private static final Timing TIMING = new Timing(1.5, 0.4, 0.1, 30);
-    // ms for what must come; none of it is waited for if it comes
-    private static final long PATIENCE = 10_000;
 
     private final Counters counters = new Counters();
     private AgentStandIn old;
@@ -67,14 +63,6 @@
         resolver.start(address);
     }
 
-    private static void await(String what, BooleanSupplier condition) throws InterruptedException {
-        long until = System.currentTimeMillis() + PATIENCE;
-        while (!condition.getAsBoolean()) {
-            assertTrue(System.currentTimeMillis() < until, "does not come: " + what);
-            Thread.sleep(5);
-        }
-    }
-
     private TreeMap<String, Phase> believed() {
         TreeMap<String, Phase> out = new TreeMap<>();
         resolver.snapshot().endpoints().values().stream().filter(one -> one.target().phase() != Phase.GONE)
@@ -83,11 +71,11 @@
     }
 
     private void awaitBelieved(String wanted) throws InterruptedException {
-        await(wanted, () -> believed().toString().equals(wanted));
+        StandIn.await(wanted, () -> believed().toString().equals(wanted));
     }
 
     private void watching(AgentStandIn agent) throws InterruptedException {
-        await("a watch", () -> agent.watching() == 1);
+        StandIn.await("a watch", () -> agent.watching() == 1);
     }
 
     @Test
@@ -110,14 +98,14 @@
         other.tell(list(4, false, server("b", 11, "draining")));
         awaitBelieved("{a=READY, b=DRAINING}");
         assertEquals(4, resolver.snapshot().version());
-        await("the old watch is closed", () -> old.watching() == 0);
+        StandIn.await("the old watch is closed", () -> old.watching() == 0);
     }
 
     @Test
     void anOldAddressThatIsSilentOrClosesDoesNoHarm() throws Exception {
         old.mood = Mood.SILENT;
         begin(old.address());
-        await("asked", () -> !old.asked.isEmpty());
+        StandIn.await("asked", () -> !old.asked.isEmpty());
         resolver.moved(other.address());
         old.hangUp();
         watching(other);
@@ -144,7 +132,7 @@
             other.mood = mood;
             other.asked.clear();
             resolver.moved(other.address());
-            await("asked twice though " + mood, () -> other.asked.size() > 1);
+            StandIn.await("asked twice though " + mood, () -> other.asked.size() > 1);
             assertEquals("{a=READY, b=READY}", believed().toString(), mood.name());
         }
         other.mood = Mood.USUAL;
@@ -176,7 +164,7 @@
         Thread.sleep(50);
         resolver.moved(other.address());
         awaitBelieved("{c=READY}");
-        await("one watch", () -> other.watching() == 1 && old.watching() == 0);
+        StandIn.await("one watch", () -> other.watching() == 1 && old.watching() == 0);
     }
 
     @Test
@@ -185,7 +173,7 @@
         watching(old);
         broken = true;
         old.tell(list(42, false, server("a", 10, "draining")));
-        await("the failure", () -> counters.get("membership_failures_total") > 0);
+        StandIn.await("the failure", () -> counters.get("membership_failures_total") > 0);
         broken = false;
         old.tell(list(43, false, server("b", 11, "draining")));
         awaitBelieved("{a=DRAINING, b=DRAINING}");
@@ -199,7 +187,7 @@
         watching(old);
         int before = old.asked.size();
         // it says nothing, not an empty line
-        await("opened again after silence", () -> old.asked.size() > before);
+        StandIn.await("opened again after silence", () -> old.asked.size() > before);
         assertFalse(old.asked.get(before).equals("/discovery/hosts"), "its index still counts");
     }
 }
--- /dev/null
+++ b/src/test/java/juniperusher/http/StandIn.java
@@ -0,0 +1,85 @@
+package juniperusher.http;
+
+import com.eclipsesource.json.Json;
+import com.eclipsesource.json.JsonArray;
+import com.eclipsesource.json.JsonObject;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.function.BooleanSupplier;
+
+/**
+ * A server on loopback that plays an outside system, a thread for each connection; and what its tests share.
+ */
+abstract class StandIn implements AutoCloseable {
+    // ms for what must come; none of it is waited for if it comes
+    private static final long PATIENCE = 20_000;
+
+    final ServerSocket server = new ServerSocket(0, 200, InetAddress.getByName("127.0.0.1"));
+
+    StandIn() throws IOException {
+        daemon(() -> {
+            while (true) {
+                Socket socket = server.accept();
+                socket.setTcpNoDelay(true);
+                daemon(() -> serve(socket));
+            }
+        });
+    }
+
+    /** What one thread does until the socket is closed. */
+    private interface Work {
+        void run() throws Exception;
+    }
+
+    abstract void serve(Socket socket) throws Exception;
+
+    private void daemon(Work work) {
+        Thread thread = new Thread(() -> {
+            try {
+                work.run();
+            } catch (Exception e) {
+                return; // the other side or the test has closed the socket
+            }
+        }, getClass().getSimpleName());
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    int port() {
+        return server.getLocalPort();
+    }
+
+    @Override
+    public void close() throws IOException {
+        server.close();
+    }
+
+    static int unused() throws IOException {
+        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+            return free.getLocalPort();
+        }
+    }
+
+    /** The configuration of a relay that listens there and knows nothing but where discovery is. */
+    static Config config(Path folder, int listen, int discovery) throws IOException {
+        JsonObject json = Json.parse(Files.readString(Path.of("src/main/resources/selftest.json")))
+                .asObject();
+        json.set("listen", "127.0.0.1:" + listen).set("discovery", "127.0.0.1:" + discovery);
+        json.get("known").asObject().set("servers", new JsonArray());
+        return Config.read(Files.writeString(folder.resolve("c.json"), json.toString()));
+    }
+
+    static void await(String what, BooleanSupplier condition) throws InterruptedException {
+        long until = System.currentTimeMillis() + PATIENCE;
+        while (!condition.getAsBoolean()) {
+            if (System.currentTimeMillis() >= until) {
+                throw new AssertionError("does not come: " + what);
+            }
+            Thread.sleep(5);
+        }
+    }
+}
--- a/src/test/java/juniperusher/http/StormOnSocketsTest.java
+++ b/src/test/java/juniperusher/http/StormOnSocketsTest.java
@@ -3,18 +3,12 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import com.eclipsesource.json.Json;
-import com.eclipsesource.json.JsonArray;
-import com.eclipsesource.json.JsonObject;
 import java.io.InputStream;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
-import java.util.function.BooleanSupplier;
 import juniperusher.core.Counters;
 import juniperusher.net.Network;
 import juniperusher.storm.StormSettings;
@@ -33,23 +27,15 @@
         Path folder = Files.createTempDirectory("storm");
         try (EndpointStandIn endpoint = new EndpointStandIn(); AgentStandIn agent = new AgentStandIn("{}");
                 Network network = new Network(1)) {
-            int listen;
-            try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-                listen = free.getLocalPort();
-            }
+            int listen = StandIn.unused();
             agent.list = AgentStandIn.list(1, true, AgentStandIn.server("a", endpoint.port(), "up")
                     .replace("\"weight\":5.0", "\"weight\":" + LISTED));
-            JsonObject json = Json.parse(Files.readString(Path.of("src/main/resources/selftest.json")))
-                    .asObject();
-            json.set("listen", "127.0.0.1:" + listen)
-                    .set("discovery", "127.0.0.1:" + agent.address().getPort());
-            json.get("known").asObject().set("servers", new JsonArray());
-            Files.writeString(folder.resolve("c.json"), json.toString());
             Counters counters = new Counters();
-            Platform platform = new Platform(Config.read(folder.resolve("c.json")), folder.resolve("state"),
-                    counters, network, null, StormSettings.USUAL);
+            Platform platform = new Platform(StandIn.config(folder, listen, agent.port()),
+                    folder.resolve("state"), counters, network, null, StormSettings.USUAL);
             try (Socket client = new Socket("127.0.0.1", listen)) {
-                await(() -> counters.text().contains("juniperusher_endpoints_ready 1.0"));
+                StandIn.await("endpoints or ends",
+                        () -> counters.text().contains("juniperusher_endpoints_ready 1.0"));
                 endpoint.status = "500 Broken";
                 int number = 0;
                 while (!counters.text().contains("juniperusher_storms_out 1.0")) {
@@ -91,14 +77,6 @@
         Thread.sleep(20);
     }
 
-    private static void await(BooleanSupplier condition) throws InterruptedException {
-        long until = System.currentTimeMillis() + 20_000;
-        while (!condition.getAsBoolean()) {
-            assertTrue(System.currentTimeMillis() < until, "does not come");
-            Thread.sleep(10);
-        }
-    }
-
     @Test
     void whatIsOffLoadsNoClass() throws Exception {
         Process selftest = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java")
