Storms: returns found by probes and told to the module; experiments as checked files

Settings were checked by hand and the AMQP front had a file of its own.

Causes found in the laboratory, and the changes: - time-outs by chance cut the rate by 30% each (the ramp ran at 78% of what was taken): a cut needs 15% of the calls of 2 s, two at least, and is void during an outage; - the return was found by trials of messages, a hang 3 s late: destinations that are out are probed, all relays together at most 4 times a second and at 40% of what they take cold; the module hears of a return that it cannot know by Advised.back and begins its slow start without a trial; - a destination that only refused did not count as out; small ones came into a storm by chance (8 owed, now 20); - after an outage with refusals only the module's pace stood at its least: it is raised to the best known rate where a slow start begins. Ruled out before: slots (23 of 23 were never taken), refusals (none), the notes (the same with all lost). Also: JSON Schema for the operator's file with its defaults, [amqp] in it (the JSON file is still read with one line), settings show and check; package lab: plans, models of destinations, clients and notes, a rule checker, an engine in virtual time, expectations; lab.report: result.json, report.html, comparisons with intervals; lab run, lab compare.

--- a/src/main/java/juniperusher/Control.java
+++ b/src/main/java/juniperusher/Control.java
@@ -80,10 +80,8 @@
     private final List<Gate> trials = new ArrayList<>();
     private List<Action> actions = new ArrayList<>();
     private double now = Double.NEGATIVE_INFINITY;
-    private double born;
     private int callsOut, trialsOut, trialsWaiting;
-    private double wake = NEVER;
-    private double pendingWake = NEVER;
+    private double born, wake = NEVER, pendingWake = NEVER;
     private long wakeToken;
     private double reapedUntil, refutedAt, reapedAfter = NEVER; // idle connections dropped unseen, see idle
     private TargetState reapedAt;
@@ -149,10 +147,15 @@
     /** Heeds what was found of a destination beside single messages, a storm for example. */
     private void advise(Destination destination, Advised e) {
         destination.storm.refill(now);
-        destination.storm.tokens = destination.storm.rate == NEVER ? 0 : destination.storm.tokens;
+        // Guards against all senders calling at once, as their notes tell all of them of one return.
+        destination.storm.tokens = destination.storm.rate == NEVER ? 0
+                : Math.min(destination.storm.tokens, e.back() ? random.nextDouble() : NEVER);
         destination.storm.rate = e.rate();
         destination.hold = e.hold();
         destination.roomAt = e.returnIn() > 0 ? now + e.returnIn() : 0;
+        if (e.back() && destination.shared != null && destination.shared.open) {
+            startRamp(destination.shared); // no trial is needed; the rate and a told wait still hold
+        }
     }
 
     // ---- a message is taken ----
@@ -483,10 +486,7 @@
         return least != null;
     }
 
-    /**
-     * Seconds until there will be room for the item; of those refused in a storm each is told a place of its
-     * own.
-     */
+    /** Seconds until there will be room for the item; each refused in a storm has a place of its own. */
     private double room(Item item) {
         Destination destination = item.destination;
         if (destination.roomAt == 0) {
@@ -742,6 +742,7 @@
         gate.rampFrom = now;
         gate.rampCut = 1;
         gate.rampCutAt = now;
+        gate.pace.raise(now, gate.best); // refusals of the outage measured no limit
         gate.ramp.start(now, rampRate(gate));
         gate.ramp.tokens = crowd > 1 && tight ? random.nextDouble() : 0;
         actions.add(new Log("slow start " + gate.name + " rate=" + gate.ramp.rate));
--- a/src/main/java/juniperusher/Protocol.java
+++ b/src/main/java/juniperusher/Protocol.java
@@ -241,8 +241,10 @@
      * @param rate     calls a second that this sender may make there, infinite for no bound
      * @param hold     messages that may be held for it
      * @param returnIn when there will be room for another message, 0 if nothing is known of that
+     * @param back     it has just been seen to answer again, beside the sender's own calls
      */
-    public record Advised(int destination, double rate, int hold, double returnIn) implements Event {
+    public record Advised(int destination, double rate, int hold, double returnIn, boolean back)
+            implements Event {
     }
 
     // ---- actions ----
--- a/src/main/java/juniperusher/amqp/AmqpConfig.java
+++ b/src/main/java/juniperusher/amqp/AmqpConfig.java
@@ -12,7 +12,7 @@
 import java.util.List;
 
 /**
- * The file that says where the AMQP front listens and which destinations are brokers.
+ * Where the AMQP front listens and which destinations are brokers.
  *
  * @param listen       where clients connect, or null for a front that is off
  * @param user         who may connect
@@ -32,7 +32,15 @@
             String password, String virtualHost, String exchange, String routingKey, double weight) {
     }
 
-    /** Reads the file; an {@link IllegalArgumentException} says in one line what is wrong with it. */
+    /** Takes the table of the operator's file, which has been checked. */
+    public static AmqpConfig of(JsonObject table) {
+        return parse(table);
+    }
+
+    /**
+     * Reads a JSON file of the older form; an {@link IllegalArgumentException} says in one line what is wrong
+     * with it.
+     */
     public static AmqpConfig read(Path file) throws IOException {
         try {
             return parse(Json.parse(Files.readString(file)).asObject());
--- a/src/main/java/juniperusher/cli/Main.java
+++ b/src/main/java/juniperusher/cli/Main.java
@@ -23,7 +23,6 @@
 import juniperusher.settings.OperatorSettings;
 import juniperusher.sim.SimHost;
 import juniperusher.sim.WireException;
-import juniperusher.storm.StormSettings;
 import org.slf4j.LoggerFactory;
 
 /** The command line. */
@@ -63,11 +62,14 @@
     }
 
     private static Command command(String[] args) {
+        if (args.length > 0 && args[0].equals("lab")) {
+            return LabCommands.command(args);
+        }
         JCommander commands = JCommander.newBuilder().programName("juniperusher")
                 .addCommand("serve", new Serve()).addCommand("simhost", new HostSimulator())
                 .addCommand("counters", new ShowCounters()).addCommand("state", new ShowState())
                 .addCommand("selftest", new RunSelfTest()).addCommand("settings", new ShowSettings())
-                .addCommand("lab", new Lab())
+                .addCommand("lab", new LabCommands())
                 .addCommand("version", new ShowVersion()).addCommand("help", new Help()).build();
         commands.parse(args);
         if (commands.getParsedCommand() == null) {
@@ -93,8 +95,8 @@
 
     @Parameters(commandDescription = "Runs one relay, as RELAY_CONFIG and RELAY_STATE say")
     private static final class Serve implements Command {
-        @Parameter(names = "--amqp", description = "File that says where the AMQP 0-9-1 front listens and "
-                + "which destinations are brokers; without it that front is off")
+        @Parameter(names = "--amqp", description = "JSON file of the AMQP 0-9-1 front, the older form of "
+                + "[amqp] in the file that --settings names")
         private String amqp;
 
         @Parameter(names = "--settings",
@@ -116,15 +118,16 @@
             ReloadSignal reloads = new ReloadSignal(file);
             Config config = Config.read(file);
             Path state = Path.of(variable("RELAY_STATE"));
-            StormSettings storms = settings == null ? null : SettingsFile.read(settings).storm();
+            OperatorSettings operator = settings == null ? null : SettingsFile.read(settings);
+            AmqpConfig broker = amqp(amqp, operator);
             WarmUp.run(config, state, WARM_UP);
             Counters counters = new Counters();
             Network network = new Network(config.settings().settings().allowed().connectTimeout(),
                     config.descriptors());
-            Extension extension = amqp == null ? null : new AmqpExtension(AmqpConfig.read(Path.of(amqp)),
+            Extension extension = broker == null ? null : new AmqpExtension(broker,
                     config.classes(), config.settings().settings(), network);
             Platform platform = new Platform(config, state, counters, network,
-                    extension, storms);
+                    extension, operator == null ? null : operator.storm());
             LoggerFactory.getLogger(Main.class).info("serving on {}", config.listen());
             if (remoteWrite != null) {
                 new RemoteWrite(remoteWrite, config.name(), Math.max(1, every) * 1000L, counters::text,
@@ -147,6 +150,20 @@
         }
     }
 
+    /** The AMQP front's configuration, or null where it is off. */
+    private static AmqpConfig amqp(String file, OperatorSettings operator) throws IOException {
+        if (file == null) {
+            return operator == null || operator.amqp() == null ? null : AmqpConfig.of(operator.amqp());
+        }
+        if (operator != null && operator.amqp() != null) {
+            throw new ParameterException("--amqp and [amqp] in the file of --settings: expected one of them");
+        }
+        LoggerFactory.getLogger(Main.class).atWarn().addKeyValue("file", file)
+                .log("--amqp is the older form: move it to [amqp] in the file that --settings names, see "
+                        + "deploy/relay.toml");
+        return AmqpConfig.read(Path.of(file));
+    }
+
     @Parameters(commandDescription = "Prints the counters of relays that run, in Prometheus' text format")
     private static final class ShowCounters implements Command {
         @Parameter(description = "address of a relay, as host:port; more may follow", required = true)
@@ -178,19 +195,26 @@
         }
     }
 
-    @Parameters(commandDescription =
-            "Prints all settings of the operator's file with their defaults, or checks files")
+    @Parameters(commandDescription = "The operator's file: 'show' prints every key with its default, "
+            + "'show FILE' what is in force with the file, 'check FILE...' checks files")
     private static final class ShowSettings implements Command {
-        @Parameter(description = "files to check; without any, the defaults are printed")
-        private List<String> files = new ArrayList<>();
+        @Parameter(description = "show [FILE] or check FILE...", required = true)
+        private List<String> words = new ArrayList<>();
 
         @Override
         public int run() throws IOException {
-            if (files.isEmpty()) {
-                System.out.print(OperatorSettings.shown());
-            }
-            for (String file : files) {
-                System.out.println(file + ": " + SettingsFile.read(file));
+            List<String> files = words.subList(1, words.size());
+            if (words.get(0).equals("show") && files.size() <= 1) {
+                System.out.print(files.isEmpty() ? OperatorSettings.shown()
+                        : SettingsFile.read(files.get(0)).toml());
+            } else if (words.get(0).equals("check") && !files.isEmpty()) {
+                for (String file : files) {
+                    OperatorSettings read = SettingsFile.read(file);
+                    System.out.println(file + ": right; storm is " + (read.storm() == null ? "off" : "on")
+                            + ", amqp is " + (read.amqp() == null ? "off" : "on"));
+                }
+            } else {
+                throw new ParameterException("settings: expected 'show', 'show FILE' or 'check FILE...'");
             }
             return 0;
         }
--- a/src/main/java/juniperusher/cli/SettingsFile.java
+++ b/src/main/java/juniperusher/cli/SettingsFile.java
@@ -3,6 +3,7 @@
 import com.beust.jcommander.ParameterException;
 import java.io.IOException;
 import java.nio.file.Path;
+import juniperusher.settings.CheckedToml;
 import juniperusher.settings.OperatorSettings;
 
 /**
@@ -15,7 +16,7 @@
     static OperatorSettings read(String file) throws IOException {
         try {
             return OperatorSettings.read(Path.of(file));
-        } catch (OperatorSettings.Mistake e) {
+        } catch (CheckedToml.Mistake e) {
             throw new ParameterException(e.getMessage());
         }
     }
--- a/src/main/java/juniperusher/core/Companion.java
+++ b/src/main/java/juniperusher/core/Companion.java
@@ -5,12 +5,13 @@
 import juniperusher.Protocol.Event;
 
 /**
- * Sees each round's events before the module does and its actions after it, and may add to both. It is called
- * by
- * the thread that owns the module and must not wait for anything.
+ * Sees each round's events before the module does and its actions after it, and may add to both; of the
+ * events it
+ * may keep what it has itself asked for. It is called by the thread that owns the module and must not wait
+ * for anything.
  */
 public interface Companion {
-    /** Events that the module is given beside these; the time is that of the round, in seconds. */
+    /** Events that the module is given in place of these; the time is that of the round, in seconds. */
     List<Event> before(double now, List<Event> events);
 
     /** Actions that are carried out after these. */
--- a/src/main/java/juniperusher/core/DecisionLoop.java
+++ b/src/main/java/juniperusher/core/DecisionLoop.java
@@ -103,10 +103,8 @@
         if (events.isEmpty() || stopped) {
             return;
         }
-        if (companion != null) {
-            events.addAll(companion.before(now, events));
-        }
-        List<Action> actions = control.decide(now, events);
+        List<Action> actions = control.decide(now, companion == null ? events
+                : companion.before(now, events));
         if (companion != null) {
             actions.addAll(companion.after(now, actions));
         }
--- /dev/null
+++ b/src/main/java/juniperusher/lab/Plan.java
@@ -0,0 +1,145 @@
+package juniperusher.lab;
+
+import com.eclipsesource.json.JsonObject;
+import com.eclipsesource.json.JsonValue;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.function.Function;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+
+/**
+ * One run of an experiment: what is played, free of the engine that plays it. Times are in seconds from its
+ * start,
+ * rates a second. The keys and bounds are those of {@code experiment.schema.json}.
+ *
+ * @param seconds      for which clients hand in
+ * @param measuredFrom worth counts for what is asked for from here on
+ */
+public record Plan(long seed, double seconds, double measuredFrom, Relays relays, Notes notes,
+        Clients clients,
+        List<Destination> destinations, List<Crash> crashes) {
+    /**
+     * The relays.
+     *
+     * @param storm whether the storm package is on
+     * @param held  s of its share of the whole rate that a relay may hold
+     * @param calls calls out at once, over its share of what usual answer times need
+     */
+    public record Relays(int count, boolean storm, double held, double calls) {
+    }
+
+    /** The network of the notes: shares of notes, and seconds. */
+    public record Notes(double lost, double doubled, double late, double lateBy) {
+    }
+
+    /** The clients' habits. */
+    public record Clients(double load, double orders, int returns, double heed) {
+    }
+
+    /**
+     * A destination.
+     *
+     * @param queue    calls that may wait where the limit is on calls under way, -1 where it is a rate
+     * @param load     messages asked for, over its rate
+     * @param toldWait s that it tells to wait where it refuses, 0 for none
+     */
+    public record Destination(String name, double rate, int queue, int connections, double latency,
+            Spread spread,
+            double load, double toldWait, List<Trouble> troubles) {
+        /** Whether it has trouble at any time. */
+        public boolean struck() {
+            return !troubles.isEmpty();
+        }
+    }
+
+    /** How answer times are spread round their mean. */
+    public enum Spread { EXPONENTIAL, LOGNORMAL, CONSTANT }
+
+    /** How a destination is out. */
+    public enum Kind { SHUT, FAST_ERRORS, HANG, SLOW }
+
+    /** A trouble and the return from it. */
+    public record Trouble(Kind kind, double from, double until, double cold, double warm, double tip,
+            double slower) {
+    }
+
+    /** A relay is killed and comes back with its journal. */
+    public record Crash(int relay, double at, double down) {
+    }
+
+    public Plan {
+        destinations = List.copyOf(destinations);
+        crashes = List.copyOf(crashes);
+        for (Crash crash : crashes) {
+            if (crash.relay() >= relays.count()) {
+                throw new IllegalArgumentException("crashes: relay " + crash.relay() + " of " + relays.count()
+                        + "; expected 0 to " + (relays.count() - 1));
+            }
+        }
+        for (Destination destination : destinations) {
+            double last = 0;
+            for (Trouble trouble : destination.troubles()) {
+                if (trouble.from() < last || trouble.until() <= trouble.from()) {
+                    throw new IllegalArgumentException("destinations: the troubles of '" + destination.name()
+                            + "' have to follow each other; expected from " + last
+                                    + " on and until after from");
+                }
+                last = trouble.until();
+            }
+        }
+    }
+
+    /** Reads a checked file with its defaults filled in. */
+    public static Plan of(JsonObject file, long seed) {
+        JsonObject relays = file.get("relays").asObject();
+        JsonObject notes = file.get("notes").asObject();
+        JsonObject clients = file.get("clients").asObject();
+        Clients habits = new Clients(number(clients, "load"), number(clients, "orders"),
+                clients.getInt("returns", 0), number(clients, "heed"));
+        return new Plan(seed, number(file, "seconds"), number(file, "measured_from"),
+                new Relays(relays.getInt("count", 0), relays.getBoolean("storm", true), number(relays,
+                        "held"),
+                        number(relays, "calls")),
+                new Notes(number(notes, "lost"), number(notes, "doubled"), number(notes, "late"),
+                        number(notes, "late_by")), habits,
+                all(file, "destinations", one -> destination(one, habits.load())),
+                all(file, "crashes", one -> new Crash(one.getInt("relay", 0), number(one, "at"),
+                        number(one, "down"))));
+    }
+
+    private static Destination destination(JsonObject one, double load) {
+        return new Destination(one.getString("name", ""), number(one, "rate"),
+                one.getString("limit", "").equals("rate") ? -1 : one.getInt("queue", 0),
+                one.getInt("connections", 0), number(one, "latency"),
+                Spread.valueOf(one.getString("spread", "").toUpperCase(Locale.ROOT)),
+                one.getDouble("load", load), number(one, "told_wait"), all(one, "troubles", trouble ->
+                new Trouble(Kind.valueOf(trouble.getString("kind", "").toUpperCase(Locale.ROOT)),
+                        number(trouble, "from"), number(trouble, "until"), number(trouble, "cold"),
+                        number(trouble, "warm"), number(trouble, "tip"), number(trouble, "slower"))));
+    }
+
+    private static double number(JsonObject table, String key) {
+        return table.get(key).asDouble();
+    }
+
+    private static <T> List<T> all(JsonObject table, String key, Function<JsonObject, T> read) {
+        List<T> out = new ArrayList<>();
+        for (JsonValue value : table.get(key).asArray()) {
+            out.add(read.apply(value.asObject()));
+        }
+        return out;
+    }
+
+    /** The end of the last trouble, or 0 without any: where a recovery is counted from. */
+    public double lastReturn() {
+        return destinations.stream().flatMap(one -> one.troubles().stream()).mapToDouble(Trouble::until).max()
+                .orElse(0);
+    }
+
+    /** Random numbers of this run for one of its parts; the same for both engines. */
+    UniformRandomProvider random(int part) {
+        return RandomSource.XO_SHI_RO_256_PP.create(new long[] {seed, part, seed * 31 + part, 0x6a756e69L});
+    }
+}
--- /dev/null
+++ b/src/main/java/juniperusher/lab/Run.java
@@ -0,0 +1,30 @@
+package juniperusher.lab;
+
+import java.util.List;
+import java.util.Map;
+
+/**
+ * What came of one run.
+ *
+ * @param variant     its name
+ * @param figures     by name: {@code worth} (delivered over asked for, from the measured time on; {@code
+ * _struck} and
+ *                    {@code _sound} of destinations with and without trouble), {@code p50_sound}, {@code
+ *                    p99_sound},
+ *                    {@code p99_struck} (s from asking to delivery), {@code above} (calls beyond what a
+ *                    destination
+ *                    takes, in the worst 1.5 s of a return), {@code refused_calls} (by destinations above
+ *                    their
+ *                    limit), {@code fell}, {@code turned_away} (messages refused by relays or handed back),
+ *                    {@code recovered_after} (s from the last return until 95% of a struck destination's
+ *                    worth is
+ *                    delivered again, over 3 s), {@code broken}
+ * @param series      by name, one value a second
+ * @param percentiles s, latency by percentile for {@code sound} and {@code struck}, in the order of {@link
+ * Tally#AT}
+ * @param broken      rules broken, the first of them in one line each
+ * @param hash        of the history; the same for the same plan and seed in virtual time, 0 on sockets
+ */
+public record Run(String variant, long seed, Map<String, Double> figures, Map<String, double[]> series,
+        Map<String, double[]> percentiles, List<String> broken, long hash) {
+}
--- a/src/main/java/juniperusher/settings/OperatorSettings.java
+++ b/src/main/java/juniperusher/settings/OperatorSettings.java
@@ -1,32 +1,22 @@
 package juniperusher.settings;
 
+import com.eclipsesource.json.JsonObject;
+import com.eclipsesource.json.JsonValue;
 import java.io.IOException;
-import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.Map;
-import java.util.TreeMap;
+import java.util.List;
+import juniperusher.settings.CheckedToml.Mistake;
 import juniperusher.storm.StormSettings;
-import org.tomlj.Toml;
-import org.tomlj.TomlParseResult;
-import org.tomlj.TomlTable;
 
 /**
- * What an operator's file says.
+ * What an operator's file says. Its keys, bounds and defaults are in {@code operator.schema.json}.
  *
  * @param storm the storm package's settings, or null where it is off
+ * @param amqp  the table of the AMQP front with its defaults filled in, or null where it is off
+ * @param all   all that is in force: the file's values and the defaults of the tables that it has
  */
-public record OperatorSettings(StormSettings storm) {
-    private static final String STORM = "storm";
-    private static final String ON = "on";
-
-    /** A file that cannot be taken: one line, with where the fault is. */
-    public static final class Mistake extends IllegalArgumentException {
-        private static final long serialVersionUID = 1;
-
-        Mistake(Path file, int line, String what) {
-            super(file + (line > 0 ? ":" + line : "") + ": " + what);
-        }
-    }
+public record OperatorSettings(StormSettings storm, JsonObject amqp, JsonObject all) {
+    private static final String SCHEMA = "operator.schema.json";
 
     /**
      * Reads a file.
@@ -35,65 +25,83 @@
      * @throws IOException if it cannot be read at all
      */
     public static OperatorSettings read(Path file) throws IOException {
-        TomlParseResult toml = Toml.parse(Files.readString(file));
-        if (toml.hasErrors()) {
-            var first = toml.errors().get(0);
-            throw new Mistake(file, first.position().line(), first.getMessage());
-        }
-        for (String key : toml.keySet()) {
-            if (!key.equals(STORM) || !toml.isTable(key)) {
-                throw new Mistake(file, toml.inputPositionOf(key).line(), "'" + key
-                        + "' is not known; expected the table [" + STORM + "]");
-            }
+        JsonObject all = CheckedToml.by(OperatorSettings.class, SCHEMA).read(file, List.of());
+        JsonObject storm = on(all, "storm");
+        try {
+            return new OperatorSettings(storm == null ? null : storm(storm), on(all, "amqp"), all);
+        } catch (IllegalArgumentException e) {
+            // Of two values that do not go together none is the wrong one: no line.
+            throw new Mistake(file.toString(), "[storm] " + e.getMessage());
         }
-        TomlTable storm = toml.getTable(STORM);
-        return new OperatorSettings(storm == null ? null : storm(file, storm));
     }
 
-    private static StormSettings storm(Path file, TomlTable table) {
-        Map<String, Double> values = defaults();
-        boolean on = true;
-        int line = 0;
-        for (String key : table.keySet()) {
-            line = table.inputPositionOf(key).line();
-            Object value = table.get(key);
-            if (key.equals(ON) && value instanceof Boolean flag) {
-                on = flag;
-            } else if (values.containsKey(key) && value instanceof Number number) {
-                values.put(key, number.doubleValue());
-                made(file, line, values); // so that a mistake names its own line
-            } else {
-                throw new Mistake(file, line, "[" + STORM + "] " + key + " = " + value + ": expected "
-                        + (key.equals(ON) ? "true or false" : values.containsKey(key) ? "a number"
-                        : "one of " + ON + ", " + String.join(", ", values.keySet())));
-            }
-        }
-        return on ? made(file, line, values) : null;
+    private static JsonObject on(JsonObject all, String table) {
+        JsonValue found = all.get(table);
+        return found != null && found.asObject().getBoolean("on", true) ? found.asObject() : null;
     }
 
-    private static StormSettings made(Path file, int line, Map<String, Double> values) {
-        try {
-            return new StormSettings(values.get("outage_after"), values.get("again_share"),
-                    values.get("again_calm"), values.get("owed_seconds"), values.get("owed_calm"),
-                    values.get("quiet"), values.get("held_share"), values.get("margin"),
-                            values.get("note_every"));
-        } catch (IllegalArgumentException e) {
-            throw new Mistake(file, line, "[" + STORM + "] " + e.getMessage());
-        }
+    private static StormSettings storm(JsonObject table) {
+        return new StormSettings(number(table, "outage_after"), number(table, "again_share"),
+                number(table, "again_calm"), number(table, "owed_seconds"), number(table, "owed_calm"),
+                number(table, "quiet"), number(table, "held_share"), number(table, "margin"),
+                number(table, "note_every"));
     }
 
-    private static Map<String, Double> defaults() {
-        StormSettings usual = StormSettings.USUAL;
-        return new TreeMap<>(Map.of("outage_after", usual.outageAfter(), "again_share", usual.againShare(),
-                "again_calm", usual.againCalm(), "owed_seconds", usual.owedSeconds(), "owed_calm",
-                usual.owedCalm(), "quiet", usual.quiet(), "held_share", usual.heldShare(), "margin",
-                usual.margin(), "note_every", usual.noteEvery()));
+    private static double number(JsonObject table, String key) {
+        return table.get(key).asDouble();
     }
 
-    /** All keys with their defaults, as a file that could be read. */
+    /** All keys, each with what it means and its default, as a file that could be read. */
     public static String shown() {
-        StringBuilder out = new StringBuilder("[" + STORM + "]\n" + ON + " = true\n");
-        defaults().forEach((key, value) -> out.append(key).append(" = ").append(value).append('\n'));
+        StringBuilder out = new StringBuilder();
+        JsonObject tables = CheckedToml.by(OperatorSettings.class,
+                SCHEMA).schema().get("properties").asObject();
+        for (JsonObject.Member table : tables) {
+            JsonObject schema = table.getValue().asObject();
+            out.append(out.isEmpty() ? "" : "\n").append("# ").append(schema.getString("description", ""))
+                    .append("\n[").append(table.getName()).append("]\n");
+            keys(schema, "", out);
+        }
+        return out.toString();
+    }
+
+    private static void keys(JsonObject schema, String before, StringBuilder out) {
+        for (JsonObject.Member key : schema.get("properties").asObject()) {
+            JsonObject inner = key.getValue().asObject();
+            if (inner.get("items") != null) {
+                out.append("\n# [[amqp.").append(key.getName()).append("]] # ")
+                        .append(inner.getString("description", "")).append('\n');
+                keys(inner.get("items").asObject(), "# ", out);
+            } else {
+                JsonValue value = inner.get("default");
+                out.append(before).append(key.getName()).append(" = ")
+                        .append(value == null ? "(no default)" : value.toString())
+                        .append(" # ").append(inner.getString("description", "")).append('\n');
+            }
+        }
+    }
+
+    /** The tables in force as TOML. */
+    public String toml() {
+        StringBuilder out = new StringBuilder();
+        for (JsonObject.Member table : all) {
+            out.append(out.isEmpty() ? "" : "\n").append('[').append(table.getName()).append("]\n");
+            table.getValue().asObject().forEach(key -> {
+                if (!key.getValue().isArray()) {
+                    out.append(key.getName()).append(" = ").append(key.getValue()).append('\n');
+                }
+            });
+            for (JsonObject.Member key : table.getValue().asObject()) {
+                if (key.getValue().isArray()) {
+                    key.getValue().asArray().forEach(entry -> {
+                        out.append("\n[[").append(table.getName()).append('.')
+                                .append(key.getName()).append("]]\n");
+                        entry.asObject().forEach(part -> out.append(part.getName()).append(" = ")
+                                .append(part.getValue()).append('\n'));
+                    });
+                }
+            }
+        }
         return out.toString();
     }
 }
--- a/src/main/java/juniperusher/storm/DestinationStorm.java
+++ b/src/main/java/juniperusher/storm/DestinationStorm.java
@@ -16,9 +16,17 @@
 final class DestinationStorm {
     private static final double SPAN = 5; // s over which arrivals are counted
     private static final double LEAST_ARRIVALS = 8; // in that span, before a share means anything
-    private static final int LEAST_ROW = 3; // failures in a row, before they mean an outage
+    private static final int LEAST_OWED = 20; // messages, fewer are chance even where little is taken
+    private static final int LEAST_ROW = 6; // in a row before it means an outage: each call that failed is
+    private static final int FAILED = 2; // as much, each that was refused for want of room
+    private static final int REFUSED = 1; // as much
     private static final double CUT = 0.7; // of the rate, at a refusal of a call sent since the last cut
     private static final double CLIMB = 0.02; // of the cut won back by each success
+    private static final double CUT_SHARE = 0.15; // of the calls of CUT_SPAN failed or refused, and
+    private static final double LEAST_BAD = 1.5; // as many, before the rate is cut
+    private static final double CUT_SPAN = 2; // s
+    private static final double PROBE_LOST = 3; // s after which no result of a probe comes any more
+    private static final double USUAL_WEIGHT = 0.1; // of a new answer time in the usual one
     private static final double LEAST_CUT = 0.3; // what is left of the rate however often it refuses
 
     private final StormSettings settings;
@@ -26,6 +34,9 @@
     private final Fading arrivals = new Fading(SPAN);
     private final Fading again = new Fading(SPAN);
     private final Fading turnedAway = new Fading(SPAN);
+    private final Fading calls = new Fading(CUT_SPAN);
+    private final Fading bad = new Fading(CUT_SPAN);
+    private double usual; // s, an answer's time while calm
     private boolean marked;
     private StormState state = StormState.CALM;
     private double listed;
@@ -36,6 +47,12 @@
     private boolean out;
     private double outFrom = Double.NEGATIVE_INFINITY;
     private double backAt = Double.NEGATIVE_INFINITY;
+    private boolean justBack; // by the success noted last
+    private boolean seenBack;
+    private double toldUntil;
+    private double probeAt;
+    private double probedFor = Double.NaN; // the outage that the probes are for, by its beginning
+    private double probeSent = Double.NEGATIVE_INFINITY;
     private double quietFrom = Double.NaN;
     private double cut = 1;
     private double cutAt = Double.NEGATIVE_INFINITY;
@@ -72,14 +89,21 @@
         turnedAway.add(now, 1);
     }
 
-    void succeeded(double now, double limit) {
+    /** A call that left at {@code sentAt} was answered. */
+    void succeeded(double now, double sentAt, double limit) {
         reported = limit > 0 ? limit : reported;
         row = 0;
         cut = Math.min(1, cut + CLIMB);
+        calls.add(now, 1);
+        justBack = out;
         if (out) {
             out = false;
-            backAt = now;
+            // It was back when the call arrived. Guards against one that hung there and was answered on the
+            // return: no more than a usual answer's time counts.
+            backAt = Math.max(Math.max(outFrom, now - usual), sentAt);
             cut = 1; // what failed while it was out says nothing of what it takes now
+        } else if (state == StormState.CALM) {
+            usual += (now - sentAt - usual) * USUAL_WEIGHT;
         }
     }
 
@@ -87,27 +111,39 @@
      * A call failed, or was refused as a destination refuses that is shut: {@code sentAt} is when it left.
      */
     void failed(double now, double sentAt) {
+        bad(now, sentAt, FAILED);
+    }
+
+    /** A call was refused as full: that alone means a limit, nothing but that for a while that it is shut. */
+    void full(double now, double sentAt, double limit) {
+        reported = limit > 0 ? limit : reported;
+        bad(now, sentAt, REFUSED);
+    }
+
+    private void bad(double now, double sentAt, int weight) {
         if (sentAt < backAt) {
             return; // a call of the outage, which only now times out
         }
-        if (row++ == 0) {
+        if (row == 0) {
             rowFrom = now;
         }
+        row += weight;
         if (!out && row >= LEAST_ROW && now - rowFrom >= settings.outageAfter()) {
             out = true;
             outFrom = rowFrom;
+            cut = 1; // what fails while it is out says nothing of what it will take
+        }
+        if (!out) {
+            cut(now, sentAt);
         }
-        cut(now, sentAt);
-    }
-
-    /** A call was refused as full. */
-    void full(double now, double sentAt, double limit) {
-        reported = limit > 0 ? limit : reported;
-        cut(now, sentAt);
     }
 
+    /** Guards the rate against chance: one answer in many that is late or refused says nothing of it. */
     private void cut(double now, double sentAt) {
-        if (sentAt >= cutAt && state != StormState.CALM) {
+        calls.add(now, 1);
+        bad.add(now, 1);
+        if (sentAt >= cutAt && state != StormState.CALM && bad.get(now) > Math.max(LEAST_BAD,
+                CUT_SHARE * calls.get(now))) {
             cut = Math.max(LEAST_CUT, cut * CUT);
             cutAt = now;
         }
@@ -134,7 +170,50 @@
             row = 0;
             backAt = returnedAt;
             cut = 1;
+            seenBack = true;
+        }
+    }
+
+    // ---- probes of its own, which the module hears nothing of ----
+
+    /** A told wait: nothing may be sent to it before that time, nor may it be probed. */
+    void told(double until) {
+        toldUntil = Math.max(toldUntil, until);
+    }
+
+    /**
+     * Whether it is to be probed now: each so many seconds, one at a time, the first after the part {@code
+     * phase} of
+     * them, since all relays hear of an outage at once.
+     */
+    boolean probes(double now, double every, double phase) {
+        if (out && probedFor != outFrom) {
+            probedFor = outFrom;
+            probeAt = now + every * phase;
+        }
+        if (!out || now < toldUntil || now < probeAt || now < probeSent + PROBE_LOST) {
+            return false;
         }
+        probeAt = now + every;
+        probeSent = now;
+        return true;
+    }
+
+    /** The probe has its result. */
+    void probeOver() {
+        probeSent = Double.NEGATIVE_INFINITY;
+    }
+
+    /** What has just succeeded was a probe that the module does not know of. */
+    void backElsewhere(boolean unknown) {
+        seenBack |= unknown && justBack;
+    }
+
+    /** Whether the module is to be told that it is back, since it cannot know; once for each return. */
+    boolean seenBack() {
+        boolean seen = seenBack;
+        seenBack = false;
+        return seen;
     }
 
     // ---- what follows ----
@@ -145,7 +224,7 @@
         double handedIn = arrivals.get(now);
         double share = handedIn < LEAST_ARRIVALS ? 0 : (marked ? again.get(now)
                 : Math.min(handedIn, turnedAway.get(now))) / handedIn;
-        boolean much = takes > 0 && owed > Math.max(LEAST_ARRIVALS, takes * settings.owedSeconds());
+        boolean much = takes > 0 && owed > Math.max(LEAST_OWED, takes * settings.owedSeconds());
         boolean little = share <= settings.againCalm()
                 && owed <= Math.max(LEAST_ARRIVALS / 2, takes * settings.owedCalm());
         quietFrom = !little || out ? Double.NaN : Double.isNaN(quietFrom) ? now : quietFrom;
--- a/src/main/java/juniperusher/storm/Storms.java
+++ b/src/main/java/juniperusher/storm/Storms.java
@@ -16,6 +16,7 @@
 import juniperusher.Protocol.Note;
 import juniperusher.Protocol.Noted;
 import juniperusher.Protocol.Phase;
+import juniperusher.Protocol.Probe;
 import juniperusher.Protocol.Probed;
 import juniperusher.Protocol.Refuse;
 import juniperusher.Protocol.Send;
@@ -33,11 +34,14 @@
 public final class Storms {
     private static final double SHUT = 3; // s: a longer told wait is an outage's, not a limit's
     private static final double STALE = 5; // s after which what another relay holds is not known any more
-    private static final double LEAST_CHANGE = 0.1; // of the rate, before the module is told anew
+    private static final double LEAST_CHANGE = 0.01; // of the rate, before the module is told anew
     private static final double HORIZON = 30; // s, the farthest return that is told
     private static final int LEAST_HELD = 4; // messages, whatever the bound says
     private static final int LEAST_NEED = 2; // messages owed, below which a relay lends most of its share
 
+    private static final double PROBES = 4; // a second, of all relays together, and
+    private static final double PROBE_SHARE = 0.4; // of what a destination takes cold
+
     private static final Shares.Echo NO_ECHO = new Shares.Echo(0, Double.POSITIVE_INFINITY);
 
     private final StormSettings settings;
@@ -46,7 +50,9 @@
     private final double epoch;
     private final Shares shares;
     private final Map<Integer, DestinationStorm> destinations = new TreeMap<>();
-    private final Map<Integer, Target> targets = new HashMap<>();
+    private final Map<Integer, Target> targets = new TreeMap<>();
+    // the module's probes that are out, by target
+    private final Map<Integer, Integer> asking = new HashMap<>();
     private final Map<Integer, Integer> held = new HashMap<>(); // destination, by message
     private final Map<Long, Double> sent = new HashMap<>(); // when, by message and attempt
     private final Map<Integer, Integer> attempts = new HashMap<>(); // by message
@@ -75,10 +81,17 @@
 
     // ---- before a round ----
 
-    /** Takes the events of a round; what the module is to be told beside them. */
+    /**
+     * Takes the events of a round; what the module is to be told: them, without probes of ours, and advice.
+     */
     public List<Event> before(double now, List<Event> events) {
-        events.forEach(event -> take(now, event));
         List<Event> advice = new ArrayList<>();
+        for (Event event : events) {
+            if (!(event instanceof Probed probed) || probed(now, probed)) {
+                take(now, event);
+                advice.add(event);
+            }
+        }
         destinations.forEach((number, storm) -> {
             DestinationStorm.Change change = storm.turn(now, shares.part(number, epoch + now));
             if (change != null) {
@@ -109,16 +122,29 @@
             over(withdrawn.message());
         } else if (event instanceof Ended ended) {
             ended(now, ended);
-        } else if (event instanceof Probed probed && targets.containsKey(probed.target())) {
-            DestinationStorm storm = at(targets.get(probed.target()).destination());
+        } else if (event instanceof Noted noted) {
+            noted(now, noted);
+        }
+    }
+
+    /** A probe's result; whether the module has asked for it. */
+    private boolean probed(double now, Probed probed) {
+        int asked = asking.getOrDefault(probed.target(), 0);
+        asking.computeIfPresent(probed.target(), (key, count) -> count > 1 ? count - 1 : null);
+        Target target = targets.get(probed.target());
+        if (target != null) {
+            DestinationStorm storm = at(target.destination());
+            if (asked == 0) {
+                storm.probeOver();
+            }
             if (probed.ok()) {
-                storm.succeeded(now, 0);
+                storm.succeeded(now, now - probed.elapsed(), 0);
+                storm.backElsewhere(asked == 0);
             } else {
                 storm.failed(now, now - probed.elapsed());
             }
-        } else if (event instanceof Noted noted) {
-            noted(now, noted);
         }
+        return asked > 0;
     }
 
     private DestinationStorm at(int destination) {
@@ -147,8 +173,9 @@
             double from = sentAt == null ? now - ended.elapsed() : sentAt;
             double limit = ended.report() == null ? 0 : ended.report().limit();
             switch (ended.outcome()) {
-                case DELIVERED -> storm.succeeded(now, limit);
+                case DELIVERED -> storm.succeeded(now, from, limit);
                 case FULL -> {
+                    storm.told(now + ended.told());
                     if (ended.told() > SHUT) {
                         storm.failed(now, from);
                     } else {
@@ -181,7 +208,7 @@
     private Advised advise(int number, DestinationStorm storm, double now) {
         Ramp all = storm.takes(now);
         if (all == null) {
-            return new Advised(number, Double.POSITIVE_INFINITY, Integer.MAX_VALUE, 0);
+            return new Advised(number, Double.POSITIVE_INFINITY, Integer.MAX_VALUE, 0, storm.seenBack());
         }
         double part = shares.part(number, epoch + now);
         double deadline = module.classes().stream().mapToDouble(c -> c.deadline()).max().orElse(HORIZON);
@@ -190,11 +217,15 @@
         int room = (int) Math.min(module.allowed().held() * settings.heldShare(),
                 all.between(now, now + deadline) * part);
         double roomAt = all.after(now, storm.owed() / part, HORIZON);
-        return new Advised(number, all.at(now) * part, Math.max(LEAST_HELD, room), roomAt - now);
+        return new Advised(number, all.at(now) * part, Math.max(LEAST_HELD, room), roomAt - now,
+                storm.seenBack());
     }
 
     /** Guards against advice in every round: a rate that has hardly moved is not told. */
     private static boolean differs(Advised before, Advised next) {
+        if (next.back()) {
+            return true;
+        }
         if (before == null) {
             return next.rate() < Double.POSITIVE_INFINITY;
         }
@@ -219,10 +250,15 @@
                 over(refuse.message());
             } else if (action instanceof Fail fail) {
                 over(fail.message());
+            } else if (action instanceof Probe probe) {
+                asking.merge(probe.target(), 1, Integer::sum);
             }
         }
         List<Action> further = new ArrayList<>(lines);
         lines.clear();
+        if (module.allowed().probes()) {
+            probe(now, further);
+        }
         if (now >= noteAt && module.allowed().notes() && module.senders() > 1) {
             StormNote note = note(now);
             if (note != null) {
@@ -233,6 +269,27 @@
         return further;
     }
 
+    /**
+     * Asks destinations that are out whether they are back, so that no message's attempt is spent on it and
+     * the
+     * return is found while few calls leave: all relays together no more often than {@link #PROBES} a second
+     * and
+     * than a part of what it would take cold.
+     */
+    private void probe(double now, List<Action> further) {
+        for (Target target : targets.values()) {
+            DestinationStorm storm = target.phase() == Phase.READY
+                    ? destinations.get(target.destination()) : null;
+            if (storm != null) {
+                double most = Math.min(PROBES, PROBE_SHARE * module.rules().coldFrom() * storm.stated());
+                if (most > 0 && storm.probes(now, module.senders() / most,
+                        (me + 0.5) / module.senders())) {
+                    further.add(new Probe(target.id()));
+                }
+            }
+        }
+    }
+
     private void refused(double now, int message) {
         Integer destination = held.get(message);
         if (destination != null) {
--- /dev/null
+++ b/src/test/java/juniperusher/lab/ExperimentTest.java
@@ -0,0 +1,106 @@
+package juniperusher.lab;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.eclipsesource.json.JsonObject;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.Stream;
+import juniperusher.http.Config;
+import juniperusher.settings.CheckedToml;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.MethodSource;
+
+class ExperimentTest {
+    private static final String LEAST = "title = 'a'\n[[destinations]]\nname = 'x'\nrate = 10\n";
+
+    @TempDir
+    Path folder;
+
+    private Experiment read(String text) throws IOException {
+        Path file = Files.writeString(folder.resolve("x.toml"), text);
+        return read(file);
+    }
+
+    private static Experiment read(Path file) throws IOException {
+        CheckedToml checked = CheckedToml.by(Experiment.class, "experiment.schema.json");
+        JsonObject written = checked.read(file, List.of());
+        Map<String, JsonObject> variants = new LinkedHashMap<>();
+        for (Map.Entry<String, List<String>> one : Experiment.variants(written).entrySet()) {
+            variants.put(one.getKey(), checked.read(file, one.getValue()));
+        }
+        return Experiment.of(written, variants);
+    }
+
+    static Stream<Path> files() throws IOException {
+        return Files.list(Path.of("experiments"));
+    }
+
+    @ParameterizedTest
+    @MethodSource("files")
+    void eachFileOfTheRepositoryCanBeReadAndExpectsSomething(Path file) throws IOException {
+        assertTrue(read(file).expected().size() > 0, file.toString());
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', quoteCharacter = '"', textBlock = """
+            rte = 3                                          | x.toml:5: 'destinations.0.rte' is not known
+            [relays];count = 0                               | x.toml:6: 'relays.count' = 0
+            [[destinations.troubles]];kind = 'shut' | required property 'from'
+            [[destinations.troubles]];kind = 'bad';from = 5;until = 6 | x.toml:6: 'destinations.0.troubles
+            [[destinations.troubles]];kind = 'shut';from = 5;until = 4 | until after from
+            [[crashes]];relay = 3;at = 1                     | relay 3 of 3; expected 0 to 2
+            [[expect]];figure = 'worth'                      | has no bound
+            [[expect]];figure = 'worht'                      | 'expect.0.figure'
+            [[expect]];figure = 'worth';against = 'b';at_least = 0 | there is no variant 'b'; expected one of
+            [[variants]];name = 'b';[[variants]];name = 'b'  | 'b' is named twice
+            [[variants]];name = 'b';set = ['relays.cuont=1'] | --set relays.cuont=1: 'relays.cuont' is not
+            """)
+    void aMistakeIsOneLine(String text, String expected) {
+        String message = assertThrows(IllegalArgumentException.class,
+                () -> read(LEAST + text.replace(';', '\n') + '\n')).getMessage();
+        assertTrue(message.contains(expected), message);
+        assertEquals(1, message.lines().count());
+    }
+
+    private static Run run(String variant, double worth) {
+        return new Run(variant, 1, Map.of("worth", worth), Map.of(), Map.of(), List.of(), 0);
+    }
+
+    @Test
+    void expectationsAreJudgedOnEachVariantAlone() throws IOException {
+        Experiment experiment = read(LEAST + "[[variants]]\nname = 'off'\n[[variants]]\nname = 'on'\n"
+                + "[[expect]]\nfigure = 'worth'\nagainst = 'off'\nat_least = 0.0\n"
+                + "[[expect]]\nfigure = 'worth'\nover = 'max'\nat_most = 0.9\n"
+                + "[[expect]]\nfigure = 'worth'\nagainst = 'off'\nat_most_times = 1.1\n");
+        List<Run> good = List.of(run("off", 0.8), run("on", 0.7), run("on", 0.9));
+        assertEquals(List.of(true, true, true, true), experiment.judge(good).stream()
+                .map(Experiment.Judged::held).toList());
+        List<Run> bad = List.of(run("off", 0.6), run("on", 0.2), run("on", 0.95));
+        assertEquals(List.of(false, true, false, true), experiment.judge(bad).stream()
+                .map(Experiment.Judged::held).toList());
+        assertEquals(false, experiment.judge(List.of(run("off", 0.5), run("on", 0.6))).get(3).held());
+    }
+
+    @Test
+    void bothEnginesTellTheRelaysTheSame() throws IOException {
+        Plan plan = read(Path.of("experiments/storm-recovery.toml")).plans().get("off").get(0);
+        JsonObject json = com.eclipsesource.json.Json.parse(Files.readString(Path.of(
+                "src/main/resources/selftest.json"))).asObject();
+        json.set("listen", "127.0.0.1:1").set("discovery", "127.0.0.1:2")
+                .set("settings", LabSettings.json(plan, 2, 10));
+        Config config = Config.read(Files.writeString(folder.resolve("relay.json"), json.toString()));
+        assertEquals(LabSettings.of(plan), config.settings().settings());
+        assertEquals(LabSettings.NAMES, config.classes());
+        assertEquals(2, config.number());
+    }
+}
--- /dev/null
+++ b/src/test/java/juniperusher/lab/VirtualEngineTest.java
@@ -0,0 +1,105 @@
+package juniperusher.lab;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.eclipsesource.json.JsonObject;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import juniperusher.settings.CheckedToml;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Seeds 1 and 2 of each hard case; longer runs by `juniperusher lab run`. */
+class VirtualEngineTest {
+    private static final String TROUBLE = "destinations.0.troubles.0.";
+
+    private static JsonObject file(String... sets) throws IOException {
+        return CheckedToml.by(Experiment.class, "experiment.schema.json")
+                .read(Path.of("experiments/storm-recovery.toml"), List.of(sets));
+    }
+
+    private static List<Run> play(String... sets) throws IOException {
+        List<Run> runs = new ArrayList<>();
+        for (int seed = 1; seed <= 2; seed++) {
+            Run run = VirtualEngine.play("", Plan.of(file(sets), seed));
+            assertEquals(List.of(), run.broken(), "seed " + seed);
+            assertTrue(run.figures().get("worth") > 0.5, "hardly anything is delivered: " + run.figures());
+            runs.add(run);
+        }
+        return runs;
+    }
+
+    private static void neverTooMuch(List<Run> runs) {
+        for (Run run : runs) {
+            assertEquals(0, run.figures().get("above"), "seed " + run.seed());
+            assertEquals(0, run.figures().get("fell"), "seed " + run.seed());
+        }
+    }
+
+    @ParameterizedTest
+    @CsvSource({"shut, 0", "shut, 0.5", "shut, 1", "fast_errors, 0", "fast_errors, 0.5", "fast_errors, 1",
+            "hang, 0",
+            "hang, 1"})
+    void threeRelaysThatSeeOneReturnNeverSendMoreThanItTakes(String trouble, double lost) throws IOException {
+        neverTooMuch(play(TROUBLE + "kind=" + trouble, "notes.lost=" + lost));
+    }
+
+    @Test
+    void withoutThePackageMoreIsSentThanItTakes() throws IOException {
+        assertTrue(play("relays.storm=false").stream().anyMatch(run -> run.figures().get("above") > 0),
+                "then the case above shows nothing");
+    }
+
+    @Test
+    void twentyRelaysThatHearOfOneReturnDoNotAllCallAtOnce() throws IOException {
+        neverTooMuch(play("relays.count=20"));
+    }
+
+    @Test
+    void aRelayKilledInTheMiddleOfTheRecoveryDoesNoHarm() throws IOException {
+        neverTooMuch(play("crashes=[{relay = 2, at = 44}]", "notes.lost=0.2"));
+    }
+
+    @Test
+    void clientsThatKeepNoToldTimeDoNoHarm() throws IOException {
+        neverTooMuch(play("clients.heed=0", "clients.load=1.2", "notes.lost=0.2"));
+    }
+
+    @Test
+    void aDestinationThatFallsAgainByItselfReturnsAsSafely() throws IOException {
+        neverTooMuch(play("destinations.0.troubles=[{kind = 'shut', from = 10, until = 25},"
+                + "{kind = 'hang', from = 30, until = 50}]"));
+    }
+
+    @Test
+    void twoDestinationsThatStormAtOnceLeaveTheThirdAlone() throws IOException {
+        String other = "destinations.1.troubles=[{kind = 'fast_errors', from = 10, until = 40}]";
+        neverTooMuch(play(other));
+        double calm = play("destinations.0.troubles=[]").get(0).figures().get("worth_sound");
+        assertTrue(play(other).get(0).figures().get("worth_sound") > calm - 0.02);
+    }
+
+    @Test
+    void aToldWaitLongerThanTheMessagesTimeIsKept() throws IOException {
+        play(TROUBLE + "kind=shut", "destinations.0.told_wait=30");
+        play(TROUBLE + "kind=shut", "destinations.0.told_wait=30", "relays.storm=false");
+    }
+
+    @Test
+    void aDestinationThatSlowsDownLosesNothingToTheRules() throws IOException {
+        play(TROUBLE + "kind=slow", "destinations.0.limit=window", "destinations.0.queue=10");
+    }
+
+    @Test
+    void theSamePlanHasTheSameHistoryAndAnotherSeedAnother() throws IOException {
+        JsonObject file = file("notes.lost=0.3", "crashes=[{relay = 1, at = 44}]");
+        long hash = VirtualEngine.play("", Plan.of(file, 5)).hash();
+        assertEquals(hash, VirtualEngine.play("", Plan.of(file, 5)).hash());
+        assertNotEquals(hash, VirtualEngine.play("", Plan.of(file, 6)).hash());
+    }
+}
