Laboratory on sockets round real relays; a pass over what is held skips shut destinations

Need: experiments only ran in virtual time; there was no load tool and no measure of what a relay costs. What is refused came again unknown where clients mark nothing. A round ranked and asked for every message held, up to a quarter of a core on the platform, where a restart needs it.

Change: lab.sockets plays the same plans round real relay processes: emulated endpoints, discovery with its watch, notes with loss, delay and doubling, clients in an open loop, SIGKILL and restarts; each relay sees everything at addresses of its own, so that the rule checker knows who called. lab load, lab bench. Fingerprints of what was refused (class, destination, CRC32C of the body). Control: once one message that may be repeated cannot go to a destination whose gate is closed, no other is asked in that pass; the decisions are the same.

--- a/src/main/java/juniperusher/Control.java
+++ b/src/main/java/juniperusher/Control.java
@@ -80,13 +80,11 @@
     private final List<Gate> trials = new ArrayList<>();
     private List<Action> actions = new ArrayList<>();
     private double now = Double.NEGATIVE_INFINITY;
-    private int callsOut, trialsOut, trialsWaiting;
-    private double born, wake = NEVER, pendingWake = NEVER;
-    private long wakeToken;
+    private int callsOut, trialsOut, trialsWaiting, askFailures;
+    private double born, wake = NEVER, pendingWake = NEVER, askAt = NEVER;
+    private long wakeToken, passes;
     private double reapedUntil, refutedAt, reapedAfter = NEVER; // idle connections dropped unseen, see idle
     private TargetState reapedAt;
-    private double askAt = NEVER;
-    private int askFailures;
     private boolean started;
 
     /** A decision module that knows its settings and draws its random numbers from the seed. */
@@ -196,6 +194,7 @@
     }
 
     private void sendReady(List<Item> ready) {
+        passes++;
         for (Item item : ready) {
             TargetState target = item.call == null ? choose(item) : null;
             if (target != null) {
@@ -228,10 +227,15 @@
     private TargetState choose(Item item) {
         TargetState best = null;
         double least = NEVER;
+        boolean all = item.kind.effect() == Effect.SAFE; // what keeps this one here keeps all others
+        if (item.destination.shut == passes) {
+            return null; // guards the core: with much held, nearly all would be asked in vain in each round
+        }
         for (TargetState target : item.destination.targets) {
             if (target.info.phase() != Phase.READY || !mayGo(item, target)) {
                 continue;
             }
+            all &= !target.gate.open; // a trial may wait for a fitter one
             Call call = forming.get(target);
             // A trial call is filled, but at one that hangs its time-out would bind what joins it.
             if (call != null && call.size < target.batch && (!call.trial || item.kind.effect() == Effect.SAFE
@@ -250,6 +254,7 @@
                 least = load;
             }
         }
+        item.destination.shut = best == null && all ? passes : item.destination.shut;
         return best;
     }
 
@@ -671,10 +676,7 @@
         gate.openUntil = Math.max(now, gate.toldUntil) + pause(1, cooldown, NEVER);
     }
 
-    /**
-     * Seconds between trials of one sender such that those of all that know of the outage, and see as much
-     * of the destination as this one, are no more than a cold destination bears.
-     */
+    /** Seconds between one sender's trials: those of all that know are no more than a cold one bears. */
     private double bearable(Gate gate) {
         double part = Math.max(demand(gate), gate.listed / settings.senders());
         double known = Math.min(Math.max(now - gate.badSince, spare(gate) ? SHUT_AFTER : 0), 1 / part);
@@ -896,6 +898,7 @@
         int held, taken;
         int hold = Integer.MAX_VALUE;
         double roomAt; // when there will be room in a storm for the next one refused
+        long shut; // the pass over the items in which none of its own can be sent any more
 
         Destination(int id) {
             this.id = id;
@@ -925,8 +928,7 @@
         final boolean apart;
         final Failures failures = new Failures();
         double cap = NEVER;
-        double lastOk = Double.NEGATIVE_INFINITY;
-        double lastUse = Double.NEGATIVE_INFINITY;
+        double lastOk = -NEVER, lastUse = -NEVER;
         double readyAt = Double.NEGATIVE_INFINITY; // last seen listed or with a call out
         Gate gate;
         Target info;
@@ -968,9 +970,7 @@
         final Bucket ramp = new Bucket(BURST);
         final Rate successes = new Rate();
         final Failures failures = new Failures();
-        double badSince = NEVER;
-        double rampCut = 1;
-        double rampFrom = NEVER;
+        double badSince = NEVER, rampFrom = NEVER, rampCut = 1;
         double toldUntil, known, best, listed, rampCutAt, openUntil;
         boolean reported, open, hung, trialOut;
         int bad, trips;
--- a/src/main/java/juniperusher/cli/LabCommands.java
+++ b/src/main/java/juniperusher/cli/LabCommands.java
@@ -9,14 +9,16 @@
 import java.util.List;
 
 /** The sub-commands of {@code lab}. Only what is asked for is loaded. */
-@Parameters(commandDescription = "The laboratory: lab run FILE, lab compare FOLDER FOLDER; see docs/lab.md")
+@Parameters(commandDescription = "The laboratory: lab run, compare, load, bench; lab help; see docs/lab.md")
 final class LabCommands implements Main.Command {
     @Parameter(description = "the laboratory's command and its arguments")
     private List<String> words = new ArrayList<>();
 
     static Main.Command command(String[] args) {
         JCommander commands = JCommander.newBuilder().programName("juniperusher lab")
-                .addCommand("run", new Lab.Play()).addCommand("compare", new Lab.Compare()).build();
+                .addCommand("run", new Lab.Play()).addCommand("compare", new Lab.Compare())
+                .addCommand("load", new LabSockets.Hand()).addCommand("bench",
+                        new LabSockets.Measure()).build();
         if (args.length == 1) {
             throw new ParameterException("lab: expected one of "
                     + String.join(", ", commands.getCommands().keySet()));
--- a/src/main/java/juniperusher/core/Companion.java
+++ b/src/main/java/juniperusher/core/Companion.java
@@ -14,6 +14,16 @@
     /** Events that the module is given in place of these; the time is that of the round, in seconds. */
     List<Event> before(double now, List<Event> events);
 
+    /**
+     * An RPC becomes a message of this number; whether it is one that was refused before and comes again
+     * without a
+     * mark. Called in the round in which the module hears of it, before {@link #before}.
+     */
+    boolean comesAgain(int message, RpcRequest request);
+
+    /** An RPC was refused before it became a message. Called by any thread. */
+    void turnedAway(RpcRequest request);
+
     /** Actions that are carried out after these. */
     List<Action> after(double now, List<Action> actions);
 }
--- a/src/main/java/juniperusher/core/Relay.java
+++ b/src/main/java/juniperusher/core/Relay.java
@@ -49,6 +49,7 @@
     private final Counters counters;
     private final Subchannels subchannels;
     private final NoteSender notes;
+    private final Companion companion; // or null
     private final DecisionLoop loop;
     private final Guards guards = new Guards();
     private final Map<String, Front> fronts = new HashMap<>();
@@ -79,6 +80,7 @@
         this.counters = counters;
         this.subchannels = subchannels;
         this.notes = notes;
+        this.companion = companion;
         timers.setRemoveOnCancelPolicy(true); // else each answered call's timer stays up to its time-out
         journal = new Journal(state, diskBytes, settings.allowed().held());
         loop = new DecisionLoop(new Control(settings, seed), companion, gap, this::carryOut);
@@ -167,6 +169,9 @@
 
     private void refuse(RpcRequest request, Channel channel, String why) {
         counters.add("refused_total", "front", request.front(), "why", why);
+        if (companion != null) {
+            companion.turnedAway(request);
+        }
         channel.refused(new UnavailableStatus(FULL_RETRY));
     }
 
@@ -186,7 +191,7 @@
         // Guards the final answer's time: what waits for a round, while the core is busy, has less left.
         loop.postLate(() -> new Arrived(new Message(rpc.number(), request.messageClass(), 0,
                 request.destination(), 0L, Math.max(0, rpc.timeLeft()), attemptsUsed,
-                request.again())));
+                request.again() || companion != null && companion.comesAgain(rpc.number(), request))));
     }
 
     // ---- what the module is told ----
--- a/src/main/java/juniperusher/net/HttpMessage.java
+++ b/src/main/java/juniperusher/net/HttpMessage.java
@@ -66,7 +66,8 @@
         return new String(body, StandardCharsets.UTF_8);
     }
 
-    ByteBuffer bytes() {
+    /** The whole message as it goes over the wire. */
+    public ByteBuffer bytes() {
         HttpGenerator generator = new HttpGenerator();
         boolean request = start.indexOf(' ') > 0;
         MetaData.Request asked = request ? new MetaData.Request(0, method(), HttpURI.from(path()),
--- a/src/main/java/juniperusher/storm/Storms.java
+++ b/src/main/java/juniperusher/storm/Storms.java
@@ -56,6 +56,9 @@
     private final Map<Integer, Integer> held = new HashMap<>(); // destination, by message
     private final Map<Long, Double> sent = new HashMap<>(); // when, by message and attempt
     private final Map<Integer, Integer> attempts = new HashMap<>(); // by message
+    private final Map<Integer, Long> prints = new HashMap<>(); // by message
+    private final Fingerprints fingerprints = new Fingerprints();
+    private double roundAt; // the last round's time
     private final Map<Long, Heard> heard = new HashMap<>(); // by relay and destination
     private final Map<Integer, Advised> told = new HashMap<>();
     private final List<Log> lines = new ArrayList<>();
@@ -81,11 +84,26 @@
 
     // ---- before a round ----
 
+    /**
+     * A message arrives whose client marks nothing; whether it was refused before. Called before the round in
+     * which the module hears of it.
+     */
+    public boolean comesAgain(int message, long print) {
+        prints.put(message, print);
+        return fingerprints.again(print, roundAt);
+    }
+
+    /** Something was refused before it became a message. */
+    public void turnedAway(double now, long print) {
+        fingerprints.refused(print, now);
+    }
+
     /**
      * Takes the events of a round; what the module is to be told: them, without probes of ours, and advice.
      */
     public List<Event> before(double now, List<Event> events) {
         List<Event> advice = new ArrayList<>();
+        roundAt = now;
         for (Event event : events) {
             if (!(event instanceof Probed probed) || probed(now, probed)) {
                 take(now, event);
@@ -198,6 +216,7 @@
     private void over(int message) {
         Integer destination = held.remove(message);
         attempts.remove(message);
+        prints.remove(message);
         if (destination != null) {
             at(destination).over();
         }
@@ -247,6 +266,10 @@
                 sent.put(call(send.message(), attempt), now);
             } else if (action instanceof Refuse refuse) {
                 refused(now, refuse.message());
+                Long print = prints.get(refuse.message());
+                if (print != null) {
+                    fingerprints.refused(print, now);
+                }
                 over(refuse.message());
             } else if (action instanceof Fail fail) {
                 over(fail.message());
--- a/src/test/java/juniperusher/ImportsTest.java
+++ b/src/test/java/juniperusher/ImportsTest.java
@@ -40,6 +40,8 @@
             Map.entry("sim", List.of("juniperusher.core", "juniperusher.http", "juniperusher.amqp",
                     "juniperusher.net",
                     "juniperusher.cli", "org.eclipse.jetty")),
+            Map.entry("lab/sockets", List.of("juniperusher.http", "juniperusher.amqp", "juniperusher.cli",
+                    "juniperusher.Control", "juniperusher.storm", "juniperusher.membership")),
             Map.entry("lab/report", List.of("juniperusher.http", "juniperusher.amqp", "juniperusher.net",
                     "juniperusher.cli", "juniperusher.core", "juniperusher.Control",
                             "juniperusher.lab.sockets",
--- /dev/null
+++ b/src/test/java/juniperusher/lab/SocketEngineTest.java
@@ -0,0 +1,65 @@
+package juniperusher.lab;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.eclipsesource.json.JsonObject;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import juniperusher.lab.sockets.SocketEngine;
+import juniperusher.settings.CheckedToml;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Real relays for a few seconds; longer runs by `juniperusher lab run --engine sockets`. */
+class SocketEngineTest {
+    @TempDir
+    Path folder;
+
+    @Test
+    void twoRelaysDeliverThroughAnOutageAndAKillAndBreakNoRule() throws Exception {
+        Path file = Files.writeString(folder.resolve("x.toml"), """
+                title = "short"
+                seconds = 9
+                [relays]
+                count = 2
+                [clients]
+                load = 0.5
+                orders = 0
+                [[destinations]]
+                name = "struck"
+                rate = 40
+                latency = 0.02
+                [[destinations.troubles]]
+                kind = "fast_errors"
+                from = 1
+                until = 4
+                warm = 2
+                [[destinations]]
+                name = "sound"
+                rate = 40
+                latency = 0.02
+                [[crashes]]
+                relay = 1
+                at = 5.5
+                down = 0.5
+                """);
+        JsonObject json = CheckedToml.by(Experiment.class, "experiment.schema.json").read(file, List.of());
+        Run run = SocketEngine.play("short", Plan.of(json, 1), "juniperusher.cli.Main", at -> { });
+        assertEquals(List.of(), run.broken());
+        assertTrue(run.figures().get("worth_sound") > 0.8, run.figures().toString());
+        assertTrue(run.figures().get("worth_struck") > 0.4, run.figures().toString());
+        assertTrue(sum(run, "storms") + sum(run, "recovering") > 0, "the relays saw no storm: "
+                + run.series());
+        assertTrue(sum(run, "owed") > 0, "the relays held nothing");
+    }
+
+    private static double sum(Run run, String series) {
+        double sum = 0;
+        for (double value : run.series().getOrDefault(series, new double[0])) {
+            sum += value;
+        }
+        return sum;
+    }
+}
