Storms: a relay that is else empty holds more for one; full connection tables on sockets

Need: with twenty relays each held 21 messages at most for the struck destination, so that chance alone made some turn messages away while others had room. `connections` of an experiment's destination had no effect on sockets.

Change: one storm may have its share of a relay, or 80% of it less what all others hold there. Emulated endpoints close connections beyond their table.

--- a/src/main/java/juniperusher/lab/sockets/Emulation.java
+++ b/src/main/java/juniperusher/lab/sockets/Emulation.java
@@ -37,6 +37,7 @@
     private final ScheduledExecutorService lab;
     private final List<DestinationModel> models;
     private final Watcher watcher;
+    private final int[] connections; // by destination, of all relays
     private final List<Closeable> open = new ArrayList<>();
     private final List<InetSocketAddress> endpoints = new ArrayList<>();
     private final InetSocketAddress discovery;
@@ -60,13 +61,13 @@
     }
 
     Emulation(Plan plan, int relay, Network network, ScheduledExecutorService lab,
-            List<DestinationModel> models,
-            Watcher watcher) throws IOException {
+            List<DestinationModel> models, int[] connections, Watcher watcher) throws IOException {
         this.plan = plan;
         this.relay = relay;
         this.network = network;
         this.lab = lab;
         this.models = models;
+        this.connections = connections;
         this.watcher = watcher;
         for (int i = 0; i < plan.destinations().size(); i++) {
             Endpoint endpoint = new Endpoint(i);
@@ -109,8 +110,6 @@
     private final class Endpoint implements PeerConnection.Handler {
         private final int destination;
         private final Map<PeerConnection, Out> out = new HashMap<>();
-        private int connections;
-
         /** A call that has no answer yet. */
         private final class Out {
             final String id;
@@ -126,6 +125,16 @@
             this.destination = destination;
         }
 
+        @Override
+        public void opened(PeerConnection connection) {
+            lab.execute(() -> {
+                // A full table of connections, whichever relay this one is from.
+                if (++connections[destination] > plan.destinations().get(destination).connections()) {
+                    connection.close();
+                }
+            });
+        }
+
         @Override
         public void asked(PeerConnection connection, HttpMessage request) {
             lab.execute(() -> call(connection, request));
@@ -174,6 +183,7 @@
         @Override
         public void gone(PeerConnection connection) {
             lab.execute(() -> {
+                connections[destination]--;
                 Out call = out.remove(connection);
                 if (call != null) {
                     if (call.answer != null) {
--- a/src/main/java/juniperusher/lab/sockets/PeerConnection.java
+++ b/src/main/java/juniperusher/lab/sockets/PeerConnection.java
@@ -40,6 +40,10 @@
 
     /** What the connection leads to; called by the selector's thread. */
     interface Handler {
+        /** The connection has come up. */
+        default void opened(PeerConnection connection) {
+        }
+
         /** A request's last byte has come. */
         void asked(PeerConnection connection, HttpMessage request);
 
@@ -58,6 +62,7 @@
     public void onOpen() {
         super.onOpen();
         getEndPoint().setIdleTimeout(idle);
+        handler.opened(this);
         fillInterested();
     }
 
--- a/src/main/java/juniperusher/lab/sockets/SocketEngine.java
+++ b/src/main/java/juniperusher/lab/sockets/SocketEngine.java
@@ -161,8 +161,9 @@
         Path settings = Files.writeString(folder.resolve("operator.toml"), "[storm]\non = "
                 + plan.relays().storm()
                 + "\n");
+        int[] connections = new int[models.size()];
         for (int i = 0; i < plan.relays().count(); i++) {
-            Emulation emulation = new Emulation(plan, i, network, lab, models, this);
+            Emulation emulation = new Emulation(plan, i, network, lab, models, connections, this);
             emulations.add(emulation);
             InetSocketAddress listen = Ports.unused();
             JsonArray peers = new JsonArray();
--- a/src/main/java/juniperusher/storm/Storms.java
+++ b/src/main/java/juniperusher/storm/Storms.java
@@ -36,6 +36,7 @@
     private static final double STALE = 5; // s after which what another relay holds is not known any more
     private static final double LEAST_CHANGE = 0.01; // of the rate, before the module is told anew
     private static final double HORIZON = 30; // s, the farthest return that is told
+    private static final double MOST_HELD = 0.8; // of the relay's room, less what all others have of it
     private static final int LEAST_HELD = 4; // messages, whatever the bound says
     private static final int LEAST_NEED = 2; // messages owed, below which a relay lends most of its share
 
@@ -233,7 +234,8 @@
         double deadline = module.classes().stream().mapToDouble(c -> c.deadline()).max().orElse(HORIZON);
         // What cannot be delivered in its time is better turned away at once; nor may one storm fill the
         // relay.
-        int room = (int) Math.min(module.allowed().held() * settings.heldShare(),
+        int room = (int) Math.min(Math.max(module.allowed().held() * settings.heldShare(),
+                module.allowed().held() * MOST_HELD - (held.size() - storm.owed())),
                 all.between(now, now + deadline) * part);
         double roomAt = all.after(now, storm.owed() / part, HORIZON);
         return new Advised(number, all.at(now) * part, Math.max(LEAST_HELD, room), roomAt - now,
--- a/src/test/java/juniperusher/ControlTest.java
+++ b/src/test/java/juniperusher/ControlTest.java
@@ -15,12 +15,14 @@
 import static juniperusher.Script.sent;
 import static juniperusher.Script.target;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.TreeSet;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 import juniperusher.Protocol.Action;
+import juniperusher.Protocol.Advised;
 import juniperusher.Protocol.Allowed;
 import juniperusher.Protocol.Ended;
 import juniperusher.Protocol.Event;
@@ -392,6 +394,29 @@
         assertEquals(1, sent(s.end(trial, Outcome.DELIVERED)).size() + sent(s.until(s.now + 0.9)).size());
     }
 
+    @Test
+    void aReturnSeenElsewhereBeginsTheSlowStartWithoutATrial() {
+        Script s = plain();
+        trip(s, Outcome.NOT_CONNECTED);
+        for (int i = 1; i <= 30; i++) {
+            s.play(message(i, SAFE_CLASS, 9));
+        }
+        assertEquals(List.of(), sent(s.play(new Advised(9, 2, 100, 0, false))), "it is open");
+        List<Integer> sent = new ArrayList<>(sent(s.play(new Advised(9, 2, 100, 0, true))));
+        sent.addAll(sent(s.until(s.now + 2)));
+        assertTrue(sent.size() >= 2 && sent.size() <= 5, "two a second are stated, sent were " + sent);
+    }
+
+    @Test
+    void aReturnSeenElsewhereEndsNoToldWait() {
+        Script s = plain();
+        s.play(message(1, SAFE_CLASS, 9));
+        s.end(1, Outcome.FULL, 5, null);
+        s.play(message(2, SAFE_CLASS, 9), new Advised(9, 10, 100, 0, false));
+        assertEquals(List.of(), sent(s.play(new Advised(9, 10, 100, 0, true))));
+        assertEquals(List.of(), sent(s.until(s.now + 4.9)));
+    }
+
     @Test
     void oneSlowAnswerDoesNotOpenTheBreakerButSilenceDoes() {
         Script s = plain();
--- a/src/test/java/juniperusher/lab/SocketEngineTest.java
+++ b/src/test/java/juniperusher/lab/SocketEngineTest.java
@@ -55,6 +55,36 @@
         assertTrue(sum(run, "owed") > 0, "the relays held nothing");
     }
 
+    @Test
+    void aToldWaitIsKeptAndFewConnectionsAreEnough() throws Exception {
+        Path file = Files.writeString(folder.resolve("y.toml"), """
+                title = "told"
+                seconds = 5
+                [relays]
+                count = 1
+                storm = false
+                [clients]
+                load = 1.5
+                orders = 0.3
+                [[destinations]]
+                name = "full"
+                rate = 20
+                latency = 0.02
+                told_wait = 0.5
+                connections = 2
+                [[destinations]]
+                name = "sound"
+                rate = 20
+                load = 0.5
+                latency = 0.02
+                """);
+        JsonObject json = CheckedToml.by(Experiment.class, "experiment.schema.json").read(file, List.of());
+        Run run = SocketEngine.play("told", Plan.of(json, 2), "juniperusher.cli.Main", at -> { });
+        assertEquals(List.of(), run.broken());
+        assertTrue(run.figures().get("refused_calls") > 0, "nothing was told to wait: " + run.figures());
+        assertTrue(run.figures().get("worth") > 0.3, run.figures().toString());
+    }
+
     private static double sum(Run run, String series) {
         double sum = 0;
         for (double value : run.series().getOrDefault(series, new double[0])) {
--- a/src/test/java/juniperusher/lab/VirtualEngineTest.java
+++ b/src/test/java/juniperusher/lab/VirtualEngineTest.java
@@ -55,6 +55,15 @@
                 "then the case above shows nothing");
     }
 
+    @ParameterizedTest
+    @CsvSource({"true", "false"})
+    void refusalsOfAnOutageSetNoPaceForItsReturn(boolean storm) throws IOException {
+        for (Run run : play(TROUBLE + "kind=shut", "relays.storm=" + storm)) {
+            // 0.86 where the pace that the refusals left holds over the return
+            assertTrue(run.figures().get("worth_struck") > 0.885, run.figures().toString());
+        }
+    }
+
     @Test
     void twentyRelaysThatHearOfOneReturnDoNotAllCallAtOnce() throws IOException {
         neverTooMuch(play("relays.count=20"));
