--- a/src/main/java/juniperusher/storm/Storms.java
+++ b/src/main/java/juniperusher/storm/Storms.java
@@ -281,7 +281,7 @@
         }
         List<Action> further = new ArrayList<>(lines);
         lines.clear();
-        if (module.allowed().probes()) {
+        if (module.allowed().probes() && out() > 0) {
             probe(now, further);
         }
         if (now >= noteAt && module.allowed().notes() && module.senders() > 1) {
