--- a/src/main/java/juniperusher/cli/Main.java
+++ b/src/main/java/juniperusher/cli/Main.java
@@ -6,6 +6,7 @@
 import com.beust.jcommander.Parameters;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.nio.channels.ServerSocketChannel;
 import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -19,6 +20,7 @@
 import juniperusher.http.Config;
 import juniperusher.http.Platform;
 import juniperusher.http.WarmUp;
+import juniperusher.mgmt.Management;
 import juniperusher.net.Network;
 import juniperusher.settings.OperatorSettings;
 import juniperusher.sim.SimHost;
@@ -118,16 +120,28 @@
             ReloadSignal reloads = new ReloadSignal(file);
             Config config = Config.read(file);
             Path state = Path.of(variable("RELAY_STATE"));
+            String acceptFd = System.getenv("RELAY_ACCEPT_FD");
+            ServerSocketChannel inherited;
+            try {
+                inherited = acceptFd == null || acceptFd.isEmpty() ? null : Network.inherited(acceptFd);
+            } catch (IllegalArgumentException e) {
+                throw new ParameterException(e.getMessage());
+            }
             OperatorSettings operator = settings == null ? null : SettingsFile.read(settings);
             AmqpConfig broker = amqp(amqp, operator);
-            WarmUp.run(config, state, WARM_UP);
             Counters counters = new Counters();
             Network network = new Network(config.settings().settings().allowed().connectTimeout(),
                     config.descriptors());
+            // Listens first, so that the operators hear 'not yet' while the relay warms up.
+            Management management = config.mgmt() == null ? null : Management.listen(network, config.mgmt());
+            WarmUp.run(config, state, WARM_UP);
             Extension extension = broker == null ? null : new AmqpExtension(broker,
                     config.classes(), config.settings().settings(), network);
             Platform platform = new Platform(config, state, counters, network,
-                    extension, operator == null ? null : operator.storm());
+                    extension, operator == null ? null : operator.storm(), inherited);
+            if (management != null) {
+                management.operate(platform);
+            }
             LoggerFactory.getLogger(Main.class).info("serving on {}", config.listen());
             if (remoteWrite != null) {
                 new RemoteWrite(remoteWrite, config.name(), Math.max(1, every) * 1000L, counters::text,
--- a/src/main/java/juniperusher/http/Config.java
+++ b/src/main/java/juniperusher/http/Config.java
@@ -33,11 +33,12 @@
  * @param zones     names of the zones, in the settings' order
  * @param gap       shortest time between two rounds in seconds
  * @param number    this relay's place among the relays of its tier, as in {@code peers}
+ * @param mgmt      the operators' address, from {@code RELAY_MGMT} or else the file's {@code mgmt}; or null
  */
 public record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed,
         long diskBytes, int descriptors, InetSocketAddress peerListen, List<InetSocketAddress> peers,
         InetSocketAddress peersAll, JsonObject known, SettingsParser.Parsed settings, List<String> classes,
-        List<String> kinds, List<String> zones, double gap, int number) {
+        List<String> kinds, List<String> zones, double gap, int number, InetSocketAddress mgmt) {
 
     /** Reads the file; an {@link IllegalArgumentException} says in one line what is wrong with it. */
     public static Config read(Path file) throws IOException {
@@ -71,7 +72,7 @@
                 optional(json.get("peer_listen")), peers, optional(json.get("peers_all")),
                 json.get("known").asObject(), SettingsParser.parse(lines.toString()), classes,
                 names(settings.get("kinds")), names(settings.get("azs")),
-                settings.getDouble("quantumS", 0.005), settings.getInt("me", 0));
+                settings.getDouble("quantumS", 0.005), settings.getInt("me", 0), mgmt(json.get("mgmt")));
     }
 
     /**
@@ -80,13 +81,13 @@
      */
     Config movedTo(Config newer) {
         return new Config(name, listen, newer.discovery, seed, diskBytes, descriptors, peerListen,
-                newer.peers, newer.peersAll, known, settings, classes, kinds, zones, gap, number);
+                newer.peers, newer.peersAll, known, settings, classes, kinds, zones, gap, number, mgmt);
     }
 
     /** This configuration without relays to send notes to. */
     Config alone() {
         return new Config(name, listen, discovery, seed, diskBytes, descriptors, null, List.of(), null, known,
-                settings, classes, kinds, zones, gap, number);
+                settings, classes, kinds, zones, gap, number, null);
     }
 
     private static List<String> names(JsonValue value) {
@@ -99,6 +100,12 @@
         return out;
     }
 
+    /** The operators' address: the environment's word goes before the file's. */
+    private static InetSocketAddress mgmt(JsonValue inFile) {
+        String told = System.getenv("RELAY_MGMT");
+        return told != null && !told.isBlank() ? address(told.strip()) : optional(inFile);
+    }
+
     private static InetSocketAddress optional(JsonValue value) {
         return value == null || value.isNull() || value.asString().isEmpty() ? null
                 : address(value.asString());
--- a/src/main/java/juniperusher/http/Peers.java
+++ b/src/main/java/juniperusher/http/Peers.java
@@ -21,7 +21,9 @@
     Peers(Supplier<Config> config) throws IOException {
         this.config = config;
         InetSocketAddress listen = config.get().peerListen();
-        channel = listen == null ? null : DatagramChannel.open().bind(listen);
+        // Guards an upgrade: the process before this one may still hold the same address for a while.
+        channel = listen == null ? null : DatagramChannel.open()
+                .setOption(java.net.StandardSocketOptions.SO_REUSEADDR, true).bind(listen);
     }
 
     void send(int to, byte[] note) {
--- a/src/main/java/juniperusher/http/Platform.java
+++ b/src/main/java/juniperusher/http/Platform.java
@@ -2,14 +2,24 @@
 
 import java.io.Closeable;
 import java.io.IOException;
+import java.nio.channels.ServerSocketChannel;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
+import juniperusher.Protocol.Target;
+import juniperusher.Protocol.TargetList;
 import juniperusher.core.Counters;
 import juniperusher.core.Extension;
 import juniperusher.core.Relay;
 import juniperusher.core.RoutedSubchannels;
 import juniperusher.core.Subchannels;
+import juniperusher.maintenance.Maintenance;
+import juniperusher.maintenance.MaintenanceFile;
+import juniperusher.membership.Endpoint;
+import juniperusher.membership.Snapshot;
+import juniperusher.mgmt.Operated;
 import juniperusher.net.HttpPool;
 import juniperusher.net.Network;
 import juniperusher.storm.StormSettings;
@@ -17,13 +27,14 @@
 import org.slf4j.LoggerFactory;
 
 /** A relay on the platform: the core between the platform's front and its endpoints. */
-public final class Platform implements AutoCloseable {
+public final class Platform implements AutoCloseable, Operated {
     private static final Logger LOG = LoggerFactory.getLogger(Platform.class);
     private static final double IDLE_SHARE = 0.8; // of the endpoints' idle time: closed by us before
     private static final double IDLE_DESCRIPTORS = 0.15; // of all, for idle connections to endpoints
     private static final int LEAST_IDLE = 8; // whatever the limit says
     private static final long LAST_UNSAFE = 1_200; // ms after SIGTERM: time for an answer before the end
     private static final long SERVE = 3_200; // ms after SIGTERM; SIGKILL comes after 3.7 s
+    private static final long FOLLOW = 250; // ms between two looks at the maintenance file
 
     private final AtomicReference<Config> config;
     private final Network network;
@@ -34,6 +45,12 @@
     private final PlatformFront front;
     private final Closeable listener;
     private final Counters counters;
+    private final Object held = new Object(); // orders what the module is told of discovery and maintenance
+    private final MaintenanceFile maintenanceFile;
+    private Maintenance maintenance = Maintenance.NONE;
+    private Snapshot told = Snapshot.EMPTY; // discovery's word, before maintenance
+    private volatile boolean serving;
+    private volatile boolean closed;
 
     /** Starts a relay that keeps its journal in {@code state}; {@code extension} may be null. */
     public Platform(Config first, Path state, Counters counters, Network network, Extension extension)
@@ -44,6 +61,15 @@
     /** The same, with the storm package on where {@code storms} is not null. */
     public Platform(Config first, Path state, Counters counters, Network network, Extension extension,
             StormSettings storms) throws Exception {
+        this(first, state, counters, network, extension, storms, null);
+    }
+
+    /**
+     * The same, serving clients on {@code inherited} where it is not null: the listening socket that the
+     * platform holds across an upgrade. The configuration's {@code listen} is then not bound.
+     */
+    public Platform(Config first, Path state, Counters counters, Network network, Extension extension,
+            StormSettings storms, ServerSocketChannel inherited) throws Exception {
         this.counters = counters;
         config = new AtomicReference<>(first);
         this.network = network;
@@ -53,8 +79,10 @@
                 Math.max(LEAST_IDLE, (int) (first.descriptors() * IDLE_DESCRIPTORS)));
         peers = new Peers(config::get);
         Relay[] made = new Relay[1];
-        resolver = new Resolver(first, pool, network, counters, (snapshot, list) ->
-                made[0].resolved(snapshot, list));
+        maintenanceFile = new MaintenanceFile(state);
+        maintenance = readMaintenance(Maintenance.NONE);
+        resolver = new Resolver(first, pool, network, counters, (snapshot, list) -> resolved(made[0],
+                snapshot, list));
         Subchannels usual = new HttpSubchannels(first, pool, network, resolver);
         Subchannels subchannels = extension == null ? usual : new RoutedSubchannels(usual, extension);
         relay = new Relay(first.settings().settings(), first.seed(), first.gap(), state,
@@ -72,13 +100,104 @@
         if (extension != null) {
             extension.join(relay);
         }
-        relay.start(resolver.known(first.known(), extension == null ? List.of() : extension.targets()));
+        Snapshot known = resolver.known(first.known(), extension == null ? List.of() : extension.targets());
+        synchronized (held) {
+            told = known;
+            relay.start(maintenance.over(known));
+        }
         resolver.start(first.discovery());
         peers.start(relay::tell);
-        listener = front.listen(network);
+        listener = front.listen(network, inherited);
         if (extension != null) {
             extension.open();
         }
+        counters.gauge("endpoints_maintenance", () -> maintenance().held().size());
+        network.scheduler().schedule(this::followMaintenance, FOLLOW, TimeUnit.MILLISECONDS);
+        serving = true;
+    }
+
+    // ---- endpoint maintenance: what discovery says, with the held endpoints draining ----
+
+    private void resolved(Relay to, Snapshot snapshot, TargetList list) {
+        synchronized (held) {
+            told = snapshot;
+            List<Target> targets = new ArrayList<>();
+            for (Target target : list.targets()) {
+                Endpoint endpoint = snapshot.endpoints().get(target.id());
+                targets.add(endpoint == null ? target : maintenance.over(endpoint.id(), target));
+            }
+            to.resolved(maintenance.over(snapshot), new TargetList(list.whole(), targets));
+        }
+    }
+
+    private Maintenance maintenance() {
+        synchronized (held) {
+            return maintenance;
+        }
+    }
+
+    /** Puts {@code next} in force: the module and the guards hear of each endpoint that it changes. */
+    private void hold(Maintenance next) {
+        List<Target> changed = next.changedFrom(maintenance, told);
+        maintenance = next;
+        relay.resolved(next.over(told), new TargetList(false, changed));
+    }
+
+    @Override
+    public boolean serving() {
+        return serving;
+    }
+
+    @Override
+    public Answer enter(String id) {
+        return maintain(id, true);
+    }
+
+    @Override
+    public Answer exit(String id) {
+        return maintain(id, false);
+    }
+
+    private Answer maintain(String id, boolean enter) {
+        synchronized (held) {
+            if (!Maintenance.known(id, told) && !maintenance.holds(id)) {
+                return Answer.UNKNOWN;
+            }
+            Maintenance next = enter ? maintenance.enter(id) : maintenance.exit(id);
+            try {
+                // Written before the yes, so that a restart or the other process of an upgrade keeps it.
+                maintenanceFile.write(next);
+            } catch (IOException e) {
+                LOG.atError().addKeyValue("target", id).log("maintenance is not kept on disk: {}",
+                        e.toString());
+            }
+            hold(next);
+            return Answer.DONE;
+        }
+    }
+
+    /** Takes up what the other process of an upgrade wrote; runs on a timer until the end. */
+    private void followMaintenance() {
+        if (closed) {
+            return;
+        }
+        synchronized (held) {
+            Maintenance onDisk = readMaintenance(maintenance);
+            if (!onDisk.equals(maintenance)) {
+                LOG.atInfo().addKeyValue("held", onDisk.held()).log("maintenance taken from the folder");
+                hold(onDisk);
+            }
+        }
+        network.scheduler().schedule(this::followMaintenance, FOLLOW, TimeUnit.MILLISECONDS);
+    }
+
+    private Maintenance readMaintenance(Maintenance otherwise) {
+        try {
+            return maintenanceFile.read();
+        } catch (IOException e) {
+            LOG.atWarn().log("maintenance in force stays: {}", e.getMessage());
+            return otherwise;
+        }
     }
 
     /**
@@ -102,6 +221,7 @@
 
     /** What SIGTERM asks for: serves what still arrives, starts nothing that could not finish, then ends. */
     public void drain() throws InterruptedException {
+        serving = false;
         long from = System.currentTimeMillis();
         relay.noUnsafeAfter(from + LAST_UNSAFE);
         Thread.sleep(SERVE);
@@ -115,6 +235,8 @@
 
     @Override
     public void close() throws Exception {
+        closed = true;
+        serving = false;
         front.close();
         resolver.stop();
         listener.close();
--- a/src/main/java/juniperusher/http/PlatformFront.java
+++ b/src/main/java/juniperusher/http/PlatformFront.java
@@ -2,6 +2,7 @@
 
 import java.io.Closeable;
 import java.io.IOException;
+import java.nio.channels.ServerSocketChannel;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import juniperusher.core.Channel;
@@ -40,7 +41,11 @@
         this.relay = relay;
     }
 
-    Closeable listen(Network network) throws IOException {
+    Closeable listen(Network network, ServerSocketChannel inherited) throws IOException {
+        if (inherited != null) {
+            return network.listen(inherited, endPoint ->
+                    new HttpServerConnection(endPoint, network, MOST_BODY, this));
+        }
         return network.listen(config.listen(), endPoint ->
                 new HttpServerConnection(endPoint, network, MOST_BODY, this));
     }
--- a/src/main/java/juniperusher/net/HttpServerConnection.java
+++ b/src/main/java/juniperusher/net/HttpServerConnection.java
@@ -73,10 +73,16 @@
 
     /** Serves a connection whose requests have at most {@code mostBody} bytes of content. */
     public HttpServerConnection(EndPoint endPoint, Network network, int mostBody, Handler handler) {
+        this(endPoint, network, network.inbound(), mostBody, handler);
+    }
+
+    /** The same, counted in a bound of its own rather than among the clients' connections. */
+    public HttpServerConnection(EndPoint endPoint, Network network, Inbound inbound, int mostBody,
+            Handler handler) {
         super(endPoint, network.threads());
         this.handler = handler;
         this.mostBody = mostBody;
-        inbound = network.inbound();
+        this.inbound = inbound;
     }
 
     @Override
--- a/src/main/java/juniperusher/net/Inbound.java
+++ b/src/main/java/juniperusher/net/Inbound.java
@@ -33,6 +33,14 @@
         void shed();
     }
 
+    /**
+     * A bound of its own, for a listener that clients must not crowd out (the operators' one):
+     * {@code most} connections, {@code shedOne} told of each that is closed for want of room.
+     */
+    public static Inbound apart(int most, Runnable shedOne) {
+        return new Inbound(most, shedOne);
+    }
+
     Inbound(int most, Runnable shedOne) {
         this.most = most;
         this.shedOne = shedOne;
--- a/src/main/java/juniperusher/net/Network.java
+++ b/src/main/java/juniperusher/net/Network.java
@@ -73,17 +73,58 @@
     /** Listens on the address; each connection that comes in is served by what the factory makes. */
     public Closeable listen(InetSocketAddress address, Function<EndPoint, Connection> factory)
             throws IOException {
+        return listen(address, factory, true);
+    }
+
+    /**
+     * The same; where {@code bounded} is false, what comes in on it is not held to the clients' bound on
+     * connections that are not yet looked at, and is bounded by its factory instead.
+     */
+    public Closeable listen(InetSocketAddress address, Function<EndPoint, Connection> factory,
+            boolean bounded)
+            throws IOException {
         ServerSocketChannel channel = ServerSocketChannel.open();
         channel.setOption(StandardSocketOptions.SO_REUSEADDR, true);
         channel.bind(address, 512);
         channel.configureBlocking(false);
-        Closeable acceptor = selector.listen(channel, factory);
+        Closeable acceptor = selector.listen(channel, factory, bounded);
         return () -> {
             acceptor.close();
             channel.close();
         };
     }
 
+    /**
+     * Serves a listening socket that this process did not bind, such as the one that it inherited as
+     * descriptor 0; closing the returned handle stops the accepting and closes this process's descriptor.
+     */
+    public Closeable listen(ServerSocketChannel channel, Function<EndPoint, Connection> factory)
+            throws IOException {
+        channel.configureBlocking(false);
+        Closeable acceptor = selector.listen(channel, factory, true);
+        return () -> {
+            acceptor.close();
+            channel.close();
+        };
+    }
+
+    /**
+     * The listening socket that the platform hands on as descriptor {@code fd}, as {@code RELAY_ACCEPT_FD}
+     * names it; an {@link IllegalArgumentException} says in one line why it cannot be had. Only descriptor 0
+     * can be taken, through {@link System#inheritedChannel()}.
+     */
+    public static ServerSocketChannel inherited(String fd) throws IOException {
+        if (!fd.strip().equals("0")) {
+            throw new IllegalArgumentException("RELAY_ACCEPT_FD is '" + fd + "': expected 0, the descriptor "
+                    + "that standard input holds");
+        }
+        if (System.inheritedChannel() instanceof ServerSocketChannel channel) {
+            return channel;
+        }
+        throw new IllegalArgumentException("RELAY_ACCEPT_FD names descriptor 0, which holds no listening "
+                + "TCP socket");
+    }
+
     /** Opens a connection. */
     public void connect(InetSocketAddress address, Dial dial) {
         SocketChannel channel = null;
@@ -138,6 +179,10 @@
         return threads;
     }
 
+    /** What a listener serves its connections with, and whether they count towards the clients' bound. */
+    private record Listening(Function<EndPoint, Connection> factory, boolean bounded) {
+    }
+
     @Override
     public void close() {
         LifeCycle.stop(selector);
@@ -146,23 +191,39 @@
     }
 
     private final class Selector extends SelectorManager {
-        private final java.util.Map<SelectableChannel, Function<EndPoint, Connection>> listeners =
+        private final java.util.Map<SelectableChannel, Listening> listeners =
                 new java.util.concurrent.ConcurrentHashMap<>();
 
         Selector() {
             super(threads, scheduler, 1);
         }
 
-        Closeable listen(ServerSocketChannel channel, Function<EndPoint, Connection> factory) {
-            listeners.put(channel, factory);
-            return acceptor(channel);
+        Closeable listen(ServerSocketChannel channel, Function<EndPoint, Connection> factory,
+                boolean bounded) {
+            listeners.put(channel, new Listening(factory, bounded));
+            Closeable acceptor = acceptor(channel);
+            return () -> {
+                listeners.remove(channel);
+                acceptor.close();
+            };
         }
 
         @Override
         protected void accepted(SelectableChannel channel) throws IOException {
             SocketChannel socket = (SocketChannel) channel;
+            InetSocketAddress local = (InetSocketAddress) socket.getLocalAddress();
+            Listening found = null;
+            for (var listener : listeners.entrySet()) {
+                InetSocketAddress at = (InetSocketAddress) ((ServerSocketChannel) listener.getKey())
+                        .getLocalAddress();
+                if (at != null && local != null && at.getPort() == local.getPort()) {
+                    found = listener.getValue();
+                    break;
+                }
+            }
+            coming.incrementAndGet();
             // Guards against running out of descriptors: those that come at once all wait here to be opened.
-            if (inbound.size() + coming.incrementAndGet() > mostIn) {
+            if (found == null || found.bounded && inbound.size() + coming.get() > mostIn) {
                 coming.decrementAndGet();
                 unopened.incrementAndGet();
                 socket.close();
@@ -170,17 +231,7 @@
             }
             socket.configureBlocking(false);
             socket.setOption(StandardSocketOptions.TCP_NODELAY, true);
-            int port = ((InetSocketAddress) socket.getLocalAddress()).getPort();
-            for (var listener : listeners.entrySet()) {
-                InetSocketAddress at = (InetSocketAddress) ((ServerSocketChannel) listener.getKey())
-                        .getLocalAddress();
-                if (at != null && at.getPort() == port) {
-                    accept(socket, listener.getValue());
-                    return;
-                }
-            }
-            coming.decrementAndGet();
-            socket.close();
+            accept(socket, found.factory);
         }
 
         @Override
--- /dev/null
+++ b/src/test/java/juniperusher/mgmt/ManagementTest.java
@@ -0,0 +1,163 @@
+package juniperusher.mgmt;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import juniperusher.net.Network;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** The operators' calls on a socket: answers, refusals, and callers that hold connections without a call. */
+public class ManagementTest {
+    private Network network;
+    private Management management;
+    private int port;
+    private final Set<String> held = ConcurrentHashMap.newKeySet();
+    private volatile boolean serving;
+
+    @BeforeMethod
+    public void listen() throws Exception {
+        serving = false;
+        held.clear();
+        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            port = free.getLocalPort();
+        }
+        network = new Network(1.0);
+        management = Management.listen(network,
+                new InetSocketAddress(InetAddress.getLoopbackAddress(), port));
+    }
+
+    @AfterMethod
+    public void close() throws IOException {
+        management.close();
+        network.close();
+    }
+
+    private void operate() {
+        management.operate(new Operated() {
+            @Override
+            public boolean serving() {
+                return serving;
+            }
+
+            @Override
+            public Answer enter(String id) {
+                if (!id.startsWith("s-")) {
+                    return Answer.UNKNOWN;
+                }
+                held.add(id);
+                return Answer.DONE;
+            }
+
+            @Override
+            public Answer exit(String id) {
+                if (!id.startsWith("s-")) {
+                    return Answer.UNKNOWN;
+                }
+                held.remove(id);
+                return Answer.DONE;
+            }
+        });
+    }
+
+    /** Sends one call and reads to the end of the connection; the status line's code. */
+    private int call(String request) throws IOException {
+        try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), port)) {
+            socket.setSoTimeout(1_000); // an answer is due within 1 s
+            OutputStream out = socket.getOutputStream();
+            out.write(request.getBytes(StandardCharsets.ISO_8859_1));
+            out.flush();
+            InputStream in = socket.getInputStream();
+            ByteArrayOutputStream read = new ByteArrayOutputStream();
+            byte[] buffer = new byte[4096];
+            for (int n = in.read(buffer); n >= 0; n = in.read(buffer)) {
+                read.write(buffer, 0, n);
+            }
+            String text = read.toString(StandardCharsets.ISO_8859_1);
+            assertTrue(text.startsWith("HTTP/1.1 "), "no status line in: " + text);
+            assertTrue(text.toLowerCase().contains("connection: close"),
+                    "a second call was offered: " + text);
+            return Integer.parseInt(text.substring(9, 12));
+        }
+    }
+
+    private static String post(String path, String body) {
+        return "POST " + path + " HTTP/1.1\r\nHost: relay\r\nContent-Length: "
+                + body.getBytes(StandardCharsets.UTF_8).length + "\r\n\r\n" + body;
+    }
+
+    @Test
+    public void statusIsNoWhileTheRelayStartsAndYesOnceItServes() throws IOException {
+        assertEquals(call("GET /status HTTP/1.1\r\nHost: relay\r\n\r\n"), 503);
+        assertEquals(call(post("/maintenance/enter", "{\"target\":\"s-1\"}")), 503);
+        operate();
+        assertEquals(call("GET /status HTTP/1.1\r\nHost: relay\r\n\r\n"), 503);
+        serving = true;
+        assertEquals(call("GET /status HTTP/1.1\r\nHost: relay\r\n\r\n"), 200);
+    }
+
+    @Test
+    public void maintenanceIsEnteredTwiceAndLeftOnceAndUnknownIdsGetNo() throws IOException {
+        operate();
+        assertEquals(call(post("/maintenance/enter", "{\"target\":\"s-1\"}")), 200);
+        assertEquals(call(post("/maintenance/enter", "{\"target\":\"s-1\"}")), 200);
+        assertEquals(held, Set.of("s-1"));
+        assertEquals(call(post("/maintenance/exit", "{\"target\":\"s-1\"}")), 200);
+        assertEquals(held, Set.of());
+        assertEquals(call(post("/maintenance/enter", "{\"target\":\"nobody\"}")), 404);
+    }
+
+    @Test
+    public void badCallsGetFourHundredsAndNothingChanges() throws IOException {
+        operate();
+        assertEquals(call(post("/maintenance/enter", "{\"target\":")), 400);
+        assertEquals(call(post("/maintenance/enter", "[\"s-1\"]")), 400);
+        assertEquals(call(post("/maintenance/enter", "{\"target\":7}")), 400);
+        assertEquals(call(post("/maintenance/enter", "")), 400);
+        assertEquals(call("GET /maintenance/enter HTTP/1.1\r\nHost: relay\r\n\r\n"), 405);
+        assertEquals(call(post("/status", "")), 405);
+        assertEquals(call("GET /elsewhere HTTP/1.1\r\nHost: relay\r\n\r\n"), 404);
+        assertEquals(call("NONSENSE\r\n\r\n"), 400);
+        assertEquals(held, Set.of());
+    }
+
+    @Test
+    public void callersThatHoldConnectionsDelayNobody() throws IOException {
+        operate();
+        serving = true;
+        List<Socket> holding = new ArrayList<>();
+        try {
+            // Twice as many as the listener keeps: some hold half a call, some say nothing at all.
+            for (int i = 0; i < 128; i++) {
+                Socket socket = new Socket(InetAddress.getLoopbackAddress(), port);
+                if (i % 2 == 0) {
+                    socket.getOutputStream().write("GET /sta".getBytes(StandardCharsets.ISO_8859_1));
+                }
+                holding.add(socket);
+            }
+            long from = System.nanoTime();
+            for (int i = 0; i < 20; i++) {
+                assertEquals(call("GET /status HTTP/1.1\r\nHost: relay\r\n\r\n"), 200);
+            }
+            assertTrue(System.nanoTime() - from < 20 * 1_000_000_000L / 2, "answers came slowly");
+        } finally {
+            for (Socket socket : holding) {
+                socket.close();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/juniperusher/net/InheritedSocketTest.java
@@ -0,0 +1,62 @@
+package juniperusher.net;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertThrows;
+import static org.testng.Assert.assertTrue;
+
+import java.io.Closeable;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.channels.ServerSocketChannel;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.eclipse.jetty.io.AbstractConnection;
+import org.testng.annotations.Test;
+
+/** A listening socket that the process did not bind, as at an upgrade. */
+public class InheritedSocketTest {
+    @Test
+    public void aSocketBoundElsewhereIsServedAndOutlivesNothingButItsHandle() throws Exception {
+        ServerSocketChannel held = ServerSocketChannel.open();
+        held.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+        int port = ((InetSocketAddress) held.getLocalAddress()).getPort();
+        CountDownLatch opened = new CountDownLatch(1);
+        Network network = new Network(1.0);
+        try {
+            Closeable listening = network.listen(held, endPoint -> {
+                opened.countDown();
+                return new AbstractConnection(endPoint, network.threads()) {
+                    @Override
+                    public void onFillable() {
+                    }
+                };
+            });
+            try (Socket client = new Socket(InetAddress.getLoopbackAddress(), port)) {
+                assertTrue(opened.await(5, TimeUnit.SECONDS), "the connection was not served");
+            }
+            listening.close();
+            assertTrue(!held.isOpen(), "the handle leaves this process's descriptor open");
+        } finally {
+            network.close();
+        }
+    }
+
+    @Test
+    public void anotherDescriptorThanZeroIsOneClearLine() {
+        String said = null;
+        try {
+            Network.inherited("3");
+        } catch (IllegalArgumentException | java.io.IOException e) {
+            said = e.getMessage();
+        }
+        assertEquals(said, "RELAY_ACCEPT_FD is '3': expected 0, the descriptor that standard input "
+                + "holds");
+    }
+
+    @Test
+    public void standardInputThatIsNoListeningSocketIsRefused() {
+        // The test's standard input is a pipe or a terminal, never a listening socket.
+        assertThrows(IllegalArgumentException.class, () -> Network.inherited("0"));
+    }
+}
