--- a/src/main/java/juniperusher/core/Journal.java
+++ b/src/main/java/juniperusher/core/Journal.java
@@ -23,6 +23,11 @@
  * length, a checksum and the fields; a torn or damaged tail ends a segment. When the room runs out, what is
  * still owed is copied into a new segment and the old ones go; both copies fit into the room at any time.
  * Nothing is synced: what is written survives the process, and only the loss of the machine loses it.
+ *
+ * <p>At an upgrade two processes share the folder. The one that holds the lock on {@code owner} is the owner;
+ * a process that finds the lock held starts as a successor: it takes up nothing, writes segments of its own
+ * numbers, and leaves the others' segments alone until {@link #adopt} finds the lock free (the other process
+ * has ended), when it copies what they owe into its own and removes them.
  */
 public final class Journal {
     private static final Logger LOG = LoggerFactory.getLogger(Journal.class);
@@ -37,6 +42,9 @@
     private static final byte ENDED = 4;
     private static final byte ACKNOWLEDGED = 5;
     private static final byte REMEMBERED = 6;
+    private static final int SUCCESSOR_SEGMENTS = 10_000; // numbers of segments beyond the owner's
+    private static final int SUCCESSOR_NUMBERS = 1 << 24; // numbers of RPCs beyond the owner's
+    private static final String OWNER = "owner";
 
     private final Path folder;
     private final long limit;
@@ -49,6 +57,10 @@
     private long used;
     private long live;
     private int lastNumber;
+    private final java.util.Set<Path> mine = new java.util.HashSet<>(); // segments that this one may remove
+    private FileChannel ownerFile;
+    private java.nio.channels.FileLock owning;
+    private boolean owner;
 
     /**
      * An RPC that is owed its end, or whose end is still to be told.
@@ -75,15 +87,42 @@
 
     /** Opens the journal in the folder, reads what is owed and starts a clean segment with it. */
     public Journal(Path folder, long diskBytes, int held) throws IOException {
+        this(folder, diskBytes, held, false);
+    }
+
+    /** The same; {@code successor} makes it one whatever the lock says, for tests within one process. */
+    Journal(Path folder, long diskBytes, int held, boolean successor) throws IOException {
         this.folder = folder;
         limit = diskBytes - SLACK;
         reserve = Math.min(limit / 4, (long) held * SMALL);
         Files.createDirectories(folder);
+        ownerFile = FileChannel.open(folder.resolve(OWNER), StandardOpenOption.CREATE,
+                StandardOpenOption.WRITE);
+        try {
+            owning = successor ? null : ownerFile.tryLock();
+            owner = owning != null;
+        } catch (java.nio.channels.OverlappingFileLockException e) {
+            owner = true; // this very process holds it: a journal opened again, as tests do
+        }
         List<Path> old = segments(folder);
+        if (!owner) {
+            // Guards the other process's journal: read to learn its numbers only, and left as it is.
+            Journal other = new Journal(folder);
+            for (Path path : old) {
+                segmentNumber = Math.max(segmentNumber, number(path));
+            }
+            segmentNumber += SUCCESSOR_SEGMENTS;
+            lastNumber = other.lastNumber + SUCCESSOR_NUMBERS;
+            lately.putAll(other.lately);
+            LOG.atInfo().addKeyValue("segments", old.size()).log("journal: another process owns the folder; "
+                    + "what it owes is taken up once it ends");
+            old = List.of();
+        }
         for (Path path : old) {
             replay(Files.readAllBytes(path));
             segmentNumber = Math.max(segmentNumber, number(path));
             used += Files.size(path);
+            mine.add(path);
         }
         owed.replaceAll((number, left) -> left.settled());
         recovered = List.copyOf(owed.values());
@@ -102,6 +141,69 @@
         recovered = List.copyOf(owed.values());
     }
 
+    /** Whether another process owned the folder at the start and has not yet been taken over from. */
+    public synchronized boolean successor() {
+        return !owner;
+    }
+
+    /**
+     * Waits until the process that owned the folder has ended, then takes what it owed into this journal
+     * under new numbers and removes its segments. Returns what was taken, settled as a restart would: an
+     * attempt that was out may have run. Returns nothing if this journal owned the folder from the start.
+     */
+    public List<Owed> adopt() throws IOException, InterruptedException {
+        FileChannel file;
+        synchronized (this) {
+            if (owner) {
+                return List.of();
+            }
+            file = ownerFile;
+        }
+        java.nio.channels.FileLock lock = null;
+        while (lock == null) {
+            try {
+                lock = file.lock(); // blocks until the other process has ended
+            } catch (java.nio.channels.OverlappingFileLockException e) {
+                Thread.sleep(20); // the owner is a journal of this very process, as in tests
+            }
+        }
+        synchronized (this) {
+            owning = lock;
+            owner = true;
+            List<Path> theirs = segments(folder).stream().filter(path -> !mine.contains(path)).toList();
+            Journal other = new Journal(folder, theirs);
+            List<Owed> taken = new java.util.ArrayList<>();
+            for (Owed left : other.owed.values()) {
+                Owed entry = new Owed(++lastNumber, left.request(), left.attempts(),
+                        left.mayHaveRun() || left.out(), false, left.end());
+                owed.put(entry.number(), entry);
+                live += entry.size();
+                taken.add(entry);
+                write(takenRecord(entry));
+                if (entry.end() != null) {
+                    write(endedRecord(entry.number(), entry.end()));
+                }
+            }
+            other.lately.forEach((key, at) -> live += lately.put(key, at) == null ? rememberedSize(key) : 0);
+            for (Path path : theirs) {
+                Files.deleteIfExists(path);
+            }
+            LOG.atInfo().addKeyValue("segments", theirs.size()).addKeyValue("owed", taken.size())
+                    .log("journal: taken over from the process before");
+            return taken;
+        }
+    }
+
+    private Journal(Path folder, List<Path> segments) throws IOException {
+        this.folder = folder;
+        limit = 0;
+        reserve = 0;
+        for (Path path : segments) {
+            replay(Files.readAllBytes(path));
+        }
+        recovered = List.copyOf(owed.values());
+    }
+
     /** What the journal in the folder holds, read without changing it. */
     public static List<Owed> read(Path folder) throws IOException {
         return new Journal(folder).recovered;
@@ -109,8 +211,8 @@
 
     private static List<Path> segments(Path folder) throws IOException {
         try (Stream<Path> paths = Files.list(folder)) {
-            return paths.filter(path -> path.getFileName().toString().matches("journal-\\d{8}"))
-                    .sorted().toList();
+            return paths.filter(path -> path.getFileName().toString().matches("journal-\\d{8,9}"))
+                    .sorted(java.util.Comparator.comparingInt(Journal::number)).toList();
         }
     }
 
@@ -127,6 +229,7 @@
     public synchronized void close() {
         try {
             segment.close();
+            ownerFile.close(); // and with it the lock: a successor takes over
         } catch (IOException e) {
             LOG.debug("journal: {}", e.toString());
         }
@@ -340,13 +443,15 @@
 
     private void compact() {
         try {
-            List<Path> old = segments(folder);
+            // Guards the other process's segments at an upgrade: only this one's own are removed.
+            List<Path> old = segments(folder).stream().filter(mine::contains).toList();
             if (segment != null) {
                 segment.close();
             }
             long before = used;
-            segment = FileChannel.open(folder.resolve(String.format("journal-%08d", ++segmentNumber)),
-                    StandardOpenOption.CREATE_NEW, StandardOpenOption.WRITE);
+            Path next = folder.resolve(String.format("journal-%08d", ++segmentNumber));
+            segment = FileChannel.open(next, StandardOpenOption.CREATE_NEW, StandardOpenOption.WRITE);
+            mine.add(next);
             ByteArrayOutputStream all = new ByteArrayOutputStream();
             long now = System.currentTimeMillis();
             lately.entrySet().removeIf(entry -> {
@@ -369,6 +474,7 @@
             write(all.toByteArray());
             for (Path path : old) {
                 Files.delete(path);
+                mine.remove(path);
             }
             used -= before;
         } catch (IOException e) {
--- a/src/main/java/juniperusher/core/Relay.java
+++ b/src/main/java/juniperusher/core/Relay.java
@@ -43,9 +43,13 @@
     private static final Logger LOG = LoggerFactory.getLogger(Relay.class);
     private static final long ENDS = 300; // ms in which the last round ends
     private static final double FULL_RETRY = 0.5; // s, told when no room is left: the module's first pause
+    // ms between two looks at the waits that the other process of an upgrade was told: well within the
+    // 100 ms in which calls after a wait's answer are let through.
+    private static final long FOLLOW_WAITS = 25;
 
     private final Settings settings;
     private final Journal journal;
+    private final SharedWaits waits;
     private final Counters counters;
     private final Subchannels subchannels;
     private final NoteSender notes;
@@ -83,6 +87,7 @@
         this.companion = companion;
         timers.setRemoveOnCancelPolicy(true); // else each answered call's timer stays up to its time-out
         journal = new Journal(state, diskBytes, settings.allowed().held());
+        waits = new SharedWaits(state);
         loop = new DecisionLoop(new Control(settings, seed), companion, gap, this::carryOut);
         counters.gauge("held", held::size);
         counters.gauge("journal_bytes", journal::bytes);
@@ -101,6 +106,52 @@
         }
         loopThread = new Thread(loop, "decide");
         loopThread.start();
+        timers.scheduleWithFixedDelay(this::followWaits, FOLLOW_WAITS, FOLLOW_WAITS,
+                java.util.concurrent.TimeUnit.MILLISECONDS);
+        if (journal.successor()) {
+            Thread takeOver = new Thread(null, this::takeOver, "take-over", 256 * 1024);
+            takeOver.setDaemon(true);
+            takeOver.start();
+        }
+    }
+
+    /** Guards waits told to the other process of an upgrade: they hold the destination here too. */
+    private void followWaits() {
+        Map<Integer, Long> told;
+        try {
+            told = waits.changed();
+        } catch (RuntimeException e) {
+            LOG.atWarn().log("shared waits: {}", e.toString()); // a timer that throws would never run again
+            return;
+        }
+        if (told != null) {
+            long now = System.currentTimeMillis();
+            told.forEach((destination, until) -> guards.wait(destination, (until - now) / 1000.0));
+        }
+    }
+
+    /**
+     * At an upgrade: once the process before this one has ended, takes up what it left owed, as a restart
+     * would. Until then that process answers for it, and nothing of it is sent from here.
+     */
+    private void takeOver() {
+        try {
+            List<Journal.Owed> left = journal.adopt();
+            for (Journal.Owed one : left) {
+                if (heldIds.containsKey(one.request().key())) {
+                    // Handed in here again meanwhile: it is owed one end, and that one is under way here.
+                    journal.acknowledged(one.number());
+                } else {
+                    recover(one);
+                }
+            }
+            counters.add("taken_over_total", "result", "done");
+        } catch (IOException | RuntimeException e) {
+            LOG.atError().log("what the process before left is not taken up: {}", e.toString());
+            counters.add("taken_over_total", "result", "failed");
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
     }
 
     private void recover(Journal.Owed left) {
@@ -286,6 +337,8 @@
     private void heard(Target target, CallResult result) {
         if (result.told() > 0) {
             guards.wait(target.destination(), result.told());
+            waits.told(target.destination(),
+                    System.currentTimeMillis() + (long) Math.ceil(result.told() * 1000));
         }
     }
 
--- a/src/main/java/juniperusher/http/Platform.java
+++ b/src/main/java/juniperusher/http/Platform.java
@@ -35,6 +35,7 @@
     private static final long LAST_UNSAFE = 1_200; // ms after SIGTERM: time for an answer before the end
     private static final long SERVE = 3_200; // ms after SIGTERM; SIGKILL comes after 3.7 s
     private static final long FOLLOW = 250; // ms between two looks at the maintenance file
+    private static final long HANDED_ON_LOOK = 20; // ms between two looks at what is left at an upgrade
 
     private final AtomicReference<Config> config;
     private final Network network;
@@ -51,6 +52,8 @@
     private Snapshot told = Snapshot.EMPTY; // discovery's word, before maintenance
     private volatile boolean serving;
     private volatile boolean closed;
+    private final boolean handedOn; // the clients' socket is the platform's, and outlives this process
+    private boolean listening = true;
 
     /** Starts a relay that keeps its journal in {@code state}; {@code extension} may be null. */
     public Platform(Config first, Path state, Counters counters, Network network, Extension extension)
@@ -108,6 +111,7 @@
         resolver.start(first.discovery());
         peers.start(relay::tell);
         listener = front.listen(network, inherited);
+        handedOn = inherited != null;
         if (extension != null) {
             extension.open();
         }
@@ -220,14 +224,33 @@
     }
 
     /** What SIGTERM asks for: serves what still arrives, starts nothing that could not finish, then ends. */
-    public void drain() throws InterruptedException {
+    public void drain() throws InterruptedException, IOException {
         serving = false;
         long from = System.currentTimeMillis();
         relay.noUnsafeAfter(from + LAST_UNSAFE);
-        Thread.sleep(SERVE);
+        if (handedOn) {
+            // At an upgrade the process after this one accepts on the same socket: new clients go there, and
+            // each connection here ends with its next answer. Once nothing is held or open here, this one
+            // ends, and the other takes up what its journal still owes.
+            stopListening();
+            front.close();
+            while (System.currentTimeMillis() < from + SERVE
+                    && (relay.held() > 0 || network.inbound().size() > 0)) {
+                Thread.sleep(HANDED_ON_LOOK);
+            }
+        } else {
+            Thread.sleep(SERVE);
+        }
         LOG.info("ending with {} RPCs owed", relay.held());
     }
 
+    private synchronized void stopListening() throws IOException {
+        if (listening) {
+            listening = false;
+            listener.close();
+        }
+    }
+
     /** The counters. */
     public Counters counters() {
         return counters;
@@ -239,7 +262,7 @@
         serving = false;
         front.close();
         resolver.stop();
-        listener.close();
+        stopListening();
         if (extension != null) {
             extension.close();
         }
--- a/src/test/java/juniperusher/core/JournalTest.java
+++ b/src/test/java/juniperusher/core/JournalTest.java
@@ -25,7 +25,9 @@
 
     private static Path segment(Path folder) throws IOException {
         try (Stream<Path> files = Files.list(folder)) {
-            List<Path> all = files.toList();
+            // The lock file of the folder's owner stands beside the segments.
+            List<Path> all = files.filter(path -> path.getFileName().toString().startsWith("journal-"))
+                    .toList();
             assertEquals(all.size(), 1, "segments: " + all);
             return all.get(0);
         }
