Settings read at SIGHUP: new classes after the old ones, new limits, told as Retuned

Ruled out: broken files, which were refused in one line already (deadline -5, empty file), and the module.

Change: Config.movedTo merges classes by name (places kept, new ones after, missing ones kept) and takes the newer 'allowed'; the module hears Retuned through Protocol before the front lets a new class in; the core keeps the strictest effect a class ever had.

Tests: RetuneTest (merge, five broken files, a relay on a socket before and after SIGHUP).

--- a/src/main/java/juniperusher/Control.java
+++ b/src/main/java/juniperusher/Control.java
@@ -17,7 +17,6 @@
  * thread.
  */
 public final class Control {
-    // ---- constants: value, unit, reason ----
     private static final double FIRST_PAUSE = 0.5; // s, base of the first pause: a second try in time
     private static final double PAUSE_CAP = 30.0; // s, the doubling stops: a longer pause helps nobody
     private static final double TOLD_JITTER = 0.5; // share a message adds to its told wait, to spread returns
@@ -66,7 +65,7 @@
     private static final double GONE_MEMORY = 5.0; // s, a target that is gone so long is forgotten
     private static final double NEVER = Double.POSITIVE_INFINITY;
 
-    private final Settings settings;
+    private Settings settings;
     private final SplittableRandom random;
     private final double crowd; // factor on pauses, as senders that see little repeat unseen by each other
     private final boolean tight; // a return bears less than a second of its capacity at once
@@ -128,9 +127,10 @@
         } else if (event instanceof TargetList e) {
             list(e);
         } else if (event instanceof ListFailed) {
-            askFailures++;
-            askAt = now + pause(askFailures, FIRST_PAUSE, Math.max(FIRST_PAUSE,
+            askAt = now + pause(++askFailures, FIRST_PAUSE, Math.max(FIRST_PAUSE,
                     settings.rules().askWithin() / 2));
+        } else if (event instanceof Retuned e) {
+            settings = e.settings(); // a message taken before keeps its class: its item holds it
         } else if (event instanceof Withdrawn e && items.containsKey(e.message())) {
             finish(items.get(e.message()));
         } else if (event instanceof Woken e && e.token() == wakeToken) {
@@ -830,7 +830,6 @@
         wakeBy(askAt);
     }
 
-    // ---- the timer ----
 
     private void wakeBy(double time) {
         wake = Math.min(wake, time);
--- a/src/main/java/juniperusher/Protocol.java
+++ b/src/main/java/juniperusher/Protocol.java
@@ -131,7 +131,7 @@
 
     /** Something that the sender is told. */
     public sealed interface Event permits TargetList, ListFailed, Arrived, Ended, Withdrawn, Woken, Probed,
-            Noted, Streaming, Advised {
+            Noted, Streaming, Advised, Retuned {
     }
 
     /** Phase of a listed target; it tells nothing of health. */
@@ -215,6 +215,13 @@
             double told, Report report) implements Event {
     }
 
+    /**
+     * The settings are read anew: messages taken from now on go by their classes and limits. One taken before
+     * keeps the class that it came with. Classes keep their places; new ones come after them.
+     */
+    public record Retuned(Settings settings) implements Event {
+    }
+
     /** The client no longer wants the message; no answer is owed. */
     public record Withdrawn(int message) implements Event {
     }
--- a/src/main/java/juniperusher/core/Relay.java
+++ b/src/main/java/juniperusher/core/Relay.java
@@ -28,6 +28,7 @@
 import juniperusher.Protocol.Probe;
 import juniperusher.Protocol.Probed;
 import juniperusher.Protocol.Refuse;
+import juniperusher.Protocol.Retuned;
 import juniperusher.Protocol.Send;
 import juniperusher.Protocol.Settings;
 import juniperusher.Protocol.Target;
@@ -47,7 +48,8 @@
     // 100 ms in which calls after a wait's answer are let through.
     private static final long FOLLOW_WAITS = 25;
 
-    private final Settings settings;
+    private volatile Settings settings;
+    private final Set<Integer> everUnsafe = ConcurrentHashMap.newKeySet(); // places of classes, see unsafe
     private final Journal journal;
     private final SharedWaits waits;
     private final Counters counters;
@@ -81,6 +83,7 @@
     public Relay(Settings settings, long seed, double gap, Path state, long diskBytes, Counters counters,
             Subchannels subchannels, NoteSender notes, Companion companion) throws IOException {
         this.settings = settings;
+        noteUnsafe(settings);
         this.counters = counters;
         this.subchannels = subchannels;
         this.notes = notes;
@@ -115,6 +118,32 @@
         }
     }
 
+    /**
+     * The settings read anew: taken RPCs keep their classes, those taken from now on go by the new ones and
+     * by the new limits. Classes keep their places, and new ones come after them.
+     */
+    public void retune(Settings newer) {
+        noteUnsafe(newer);
+        settings = newer;
+        loop.post(new Retuned(newer));
+    }
+
+    private void noteUnsafe(Settings some) {
+        for (int place = 0; place < some.classes().size(); place++) {
+            if (some.classes().get(place).effect() == Effect.UNSAFE) {
+                everUnsafe.add(place);
+            }
+        }
+    }
+
+    /**
+     * Whether an RPC of the class in that place may not be repeated. Guards against a class made less strict
+     * while an RPC of it is under way: it keeps the strictest effect that its class ever had here.
+     */
+    private boolean unsafe(int place) {
+        return everUnsafe.contains(place);
+    }
+
     /** Guards waits told to the other process of an upgrade: they hold the destination here too. */
     private void followWaits() {
         Map<Integer, Long> told;
@@ -160,7 +189,7 @@
             tell(left.number(), request, left.end(), true);
             return;
         }
-        boolean unsafe = settings.classes().get(request.messageClass()).effect() == Effect.UNSAFE;
+        boolean unsafe = unsafe(request.messageClass());
         Rpc rpc = new Rpc(left.number(), request, left.attempts(), this);
         hold(rpc);
         if (unsafe && left.mayHaveRun()) {
@@ -409,7 +438,7 @@
     }
 
     boolean mayStart(Rpc rpc) {
-        return settings.classes().get(rpc.request().messageClass()).effect() != Effect.UNSAFE
+        return !unsafe(rpc.request().messageClass())
                 || System.currentTimeMillis() < noUnsafeAfter;
     }
 }
--- a/src/main/java/juniperusher/http/Config.java
+++ b/src/main/java/juniperusher/http/Config.java
@@ -11,6 +11,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import juniperusher.Protocol;
 import juniperusher.sim.SettingsParser;
 import juniperusher.sim.WireException;
 
@@ -81,7 +82,39 @@
      */
     Config movedTo(Config newer) {
         return new Config(name, listen, newer.discovery, seed, diskBytes, descriptors, peerListen,
-                newer.peers, newer.peersAll, known, settings, classes, kinds, zones, gap, number, mgmt);
+                newer.peers, newer.peersAll, known, retunedTo(newer), merged(newer), kinds, zones, gap,
+                number, mgmt);
+    }
+
+    /** The names of the classes: these in their places, then those that only the newer file has. */
+    private List<String> merged(Config newer) {
+        List<String> names = new ArrayList<>(classes);
+        newer.classes.stream().filter(one -> !names.contains(one)).forEach(names::add);
+        return names;
+    }
+
+    /**
+     * The settings with the newer file's classes and limits: a class keeps its place, one that is new comes
+     * after the others, and one that the newer file lacks stays as it was, for messages that still come with
+     * it. The rest (kinds, tenants, rules) takes effect at the next start.
+     */
+    private SettingsParser.Parsed retunedTo(Config newer) {
+        List<String> names = merged(newer);
+        List<Protocol.MessageClass> defined = new ArrayList<>(settings.settings().classes());
+        for (int place = 0; place < newer.classes.size(); place++) {
+            Protocol.MessageClass one = newer.settings.settings().classes().get(place);
+            int at = names.indexOf(newer.classes.get(place));
+            if (at < defined.size()) {
+                defined.set(at, one);
+            } else {
+                defined.add(one);
+            }
+        }
+        Protocol.Settings old = settings.settings();
+        Protocol.Settings retuned = new Protocol.Settings(old.senders(), old.zone(), old.askForList(),
+                old.weight(), old.overShareWorth(), old.halving(), old.crossZoneFee(), old.routeFees(),
+                old.rules(), newer.settings.settings().allowed(), defined, old.kinds(), old.tenants());
+        return new SettingsParser.Parsed(retuned, settings.leftField(), settings.limitField());
     }
 
     /** This configuration without relays to send notes to. */
--- a/src/main/java/juniperusher/http/Platform.java
+++ b/src/main/java/juniperusher/http/Platform.java
@@ -98,7 +98,7 @@
         counters.gauge("connections_shed", network::shed);
         counters.gauge("connections_unopened", network::unopened);
         counters.gauge("connections_coming", network::coming);
-        front = new PlatformFront(first, notices, counters, relay);
+        front = new PlatformFront(config::get, notices, counters, relay);
         relay.add(front);
         if (extension != null) {
             extension.join(relay);
@@ -217,7 +217,16 @@
             counters.add("reloads_total", "result", "refused");
             return;
         }
-        config.set(config.get().movedTo(newer));
+        Config before = config.get();
+        Config after = before.movedTo(newer);
+        if (!after.settings().settings().equals(before.settings().settings())) {
+            // The module hears of new classes before the front lets the first message of one in.
+            relay.retune(after.settings().settings());
+            LOG.atInfo().addKeyValue("classes", after.classes())
+                    .addKeyValue("attempts", after.settings().settings().allowed().attempts())
+                    .log("settings read anew");
+        }
+        config.set(after);
         resolver.moved(newer.discovery());
         counters.add("reloads_total", "result", "done");
         LOG.info("configuration read anew; discovery is at {}", newer.discovery());
--- a/src/main/java/juniperusher/http/PlatformFront.java
+++ b/src/main/java/juniperusher/http/PlatformFront.java
@@ -28,14 +28,17 @@
     private static final long UNREAD = 100; // ms for which a request may have waited to be read
     private static final int MOST_BODY = 64 * 1024;
 
-    private final Config config;
+    private final Config first; // what may not change while the relay runs: the listening address
+    private final java.util.function.Supplier<Config> config; // the classes in force
     private final Notices notices;
     private final Counters counters;
     private final Relay relay;
     private volatile boolean closing;
 
-    PlatformFront(Config config, Notices notices, Counters counters, Relay relay) {
+    PlatformFront(java.util.function.Supplier<Config> config, Notices notices, Counters counters,
+            Relay relay) {
         this.config = config;
+        first = config.get();
         this.notices = notices;
         this.counters = counters;
         this.relay = relay;
@@ -46,7 +49,7 @@
             return network.listen(inherited, endPoint ->
                     new HttpServerConnection(endPoint, network, MOST_BODY, this));
         }
-        return network.listen(config.listen(), endPoint ->
+        return network.listen(first.listen(), endPoint ->
                 new HttpServerConnection(endPoint, network, MOST_BODY, this));
     }
 
@@ -127,7 +130,8 @@
             throw new IllegalArgumentException("X-Call-Id is missing or too long");
         }
         String messageClass = String.valueOf(request.get("X-Call-Class"));
-        int place = config.classes().indexOf(messageClass);
+        Config now = config.get();
+        int place = now.classes().indexOf(messageClass);
         if (place < 0) {
             throw new IllegalArgumentException("X-Call-Class is unknown");
         }
@@ -135,7 +139,7 @@
         if (!path.lookingAt() || !path.group(1).equals(messageClass)) {
             throw new IllegalArgumentException("the path does not begin with the class");
         }
-        double most = config.settings().settings().classes().get(place).deadline() * 1000;
+        double most = now.settings().settings().classes().get(place).deadline() * 1000;
         long budget = Math.min(budget(request.get("X-Budget")), (long) most);
         // Guards the end of the RPC's time, which counts from the client's sending: it may have waited here.
         budget -= Math.min(UNREAD, budget / 10);
--- /dev/null
+++ b/src/test/java/juniperusher/http/RetuneTest.java
@@ -0,0 +1,129 @@
+package juniperusher.http;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import com.eclipsesource.json.Json;
+import com.eclipsesource.json.JsonArray;
+import com.eclipsesource.json.JsonObject;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import juniperusher.Protocol.Effect;
+import juniperusher.core.Counters;
+import juniperusher.net.Network;
+import org.testng.annotations.Test;
+
+/** Settings read anew at SIGHUP: classes added, removed and made stricter, attempts lowered, broken files. */
+public class RetuneTest {
+    private static JsonObject base(int listen) throws Exception {
+        JsonObject json = Json.parse(Files.readString(Path.of("src/main/resources/selftest.json")))
+                .asObject();
+        json.set("listen", "127.0.0.1:" + listen).set("discovery", "127.0.0.1:" + StandIn.unused());
+        json.get("known").asObject().set("servers", new JsonArray().add(Json.parse("{\"id\":\"s-1\","
+                + "\"addr\":\"127.0.0.1:" + StandIn.unused()
+                + "\",\"zone\":\"a\",\"kind\":\"pequeno-projeto\","
+                + "\"cell\":7,\"state\":\"up\",\"weight\":1.0,\"started_ms\":0}")));
+        return json;
+    }
+
+    /** The newer file: ordem-build first now, aviso-push gone, a stricter new class, fewer attempts. */
+    private static JsonObject newer(JsonObject old) {
+        JsonObject json = Json.parse(old.toString()).asObject();
+        JsonObject settings = json.get("settings").asObject();
+        JsonArray classes = settings.get("requestClasses").asArray();
+        JsonObject added = Json.parse(classes.get(0).toString()).asObject().set("name", "aviso-push-ii")
+                .set("effect", "at_most_once");
+        settings.set("requestClasses", new JsonArray().add(classes.get(1)).add(added));
+        settings.get("allowed").asObject().set("maxAttempts", 3);
+        return json;
+    }
+
+    @Test
+    public void classesKeepTheirPlacesNewOnesComeAfterAndLimitsAreTheNewFiles() throws Exception {
+        Path folder = Files.createTempDirectory("retune");
+        JsonObject old = base(StandIn.unused());
+        Config first = Config.read(Files.writeString(folder.resolve("a.json"), old.toString()));
+        Config read = Config.read(Files.writeString(folder.resolve("b.json"), newer(old).toString()));
+        Config after = first.movedTo(read);
+        assertEquals(after.classes(), List.of("aviso-push", "ordem-build", "aviso-push-ii"));
+        assertEquals(after.settings().settings().classes().size(), 3);
+        assertEquals(after.settings().settings().classes().get(0),
+                first.settings().settings().classes().get(0), "a class that the newer file lacks changed");
+        assertEquals(after.settings().settings().classes().get(1),
+                read.settings().settings().classes().get(0));
+        assertEquals(after.settings().settings().classes().get(2).effect(), Effect.UNSAFE);
+        assertEquals(after.settings().settings().allowed().attempts(), 3);
+        assertEquals(after.settings().settings().tenants(), first.settings().settings().tenants());
+    }
+
+    @Test
+    public void brokenFilesAreOneLineEach() throws Exception {
+        Path folder = Files.createTempDirectory("broken");
+        JsonObject old = base(StandIn.unused());
+        String whole = old.toString();
+        JsonObject noKey = Json.parse(whole).asObject();
+        noKey.get("settings").asObject().remove("allowed");
+        JsonObject deadline = Json.parse(whole).asObject();
+        deadline.get("settings").asObject().get("requestClasses").asArray().get(0).asObject()
+                .set("deadlineS", -5);
+        JsonObject attempts = Json.parse(whole).asObject();
+        attempts.get("settings").asObject().get("allowed").asObject().set("maxAttempts", 0);
+        for (String broken : List.of("", whole.substring(0, whole.length() / 2), noKey.toString(),
+                deadline.toString(), attempts.toString())) {
+            try {
+                Config.read(Files.writeString(folder.resolve("c.json"), broken));
+                throw new AssertionError("read: " + broken);
+            } catch (IllegalArgumentException e) {
+                assertFalse(e.getMessage().contains("\n"), "more than one line: " + e.getMessage());
+                assertTrue(e.getMessage().startsWith("configuration c.json cannot be read: "),
+                        e.getMessage());
+            }
+        }
+    }
+
+    /** One request on its own connection; the answer's status. */
+    private static int handIn(int port, String messageClass) throws Exception {
+        try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), port)) {
+            socket.setSoTimeout(5_000);
+            OutputStream out = socket.getOutputStream();
+            out.write(("POST /" + messageClass + " HTTP/1.1\r\nHost: relay\r\nX-Call-Id: "
+                    + System.nanoTime()
+                    + "\r\nX-Call-Class: " + messageClass + "\r\nX-Budget: 4000m\r\nX-Envelope: dest=7\r\n"
+                    + "Connection: close\r\nContent-Length: 2\r\n\r\nhi")
+                    .getBytes(StandardCharsets.ISO_8859_1));
+            InputStream in = socket.getInputStream();
+            String head = new String(in.readNBytes(12), StandardCharsets.ISO_8859_1);
+            return Integer.parseInt(head.substring(9, 12));
+        }
+    }
+
+    @Test
+    public void aRelayTakesANewClassAfterSighupAndABrokenFileChangesNothing() throws Exception {
+        Path folder = Files.createTempDirectory("retune-socket");
+        int listen = StandIn.unused();
+        JsonObject old = base(listen);
+        Path file = Files.writeString(folder.resolve("config.json"), old.toString());
+        Counters counters = new Counters();
+        Network network = new Network(1.0);
+        try (Platform platform = new Platform(Config.read(file), folder.resolve("state"), counters, network,
+                null)) {
+            assertEquals(handIn(listen, "aviso-push-ii"), 400);
+            Files.writeString(file, newer(old).toString());
+            platform.reload(file);
+            assertEquals(handIn(listen, "aviso-push-ii"), 202);
+            assertEquals(handIn(listen, "aviso-push"), 202, "a class the newer file lacks was refused");
+            Files.writeString(file, "");
+            platform.reload(file);
+            assertEquals(handIn(listen, "aviso-push-ii"), 202);
+            assertTrue(counters.text().contains("juniperusher_reloads_total{result=\"refused\"} 1"),
+                    counters.text());
+        }
+    }
+}
