Two real processes of an upgrade: the second takes over only after the first's SIGKILL

Change: UpgradeTest starts serve twice on one folder with stand-ins of an endpoint that never answers and of discovery; it checks that the second sends nothing of the first's while it lives, and after SIGKILL gives the order that may have run up and sends the notice again.

--- /dev/null
+++ b/src/test/java/juniperusher/net/UpgradeTest.java
@@ -0,0 +1,208 @@
+package juniperusher.net;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import com.eclipsesource.json.Json;
+import com.eclipsesource.json.JsonObject;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.BooleanSupplier;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.Test;
+
+/**
+ * Two real processes of an upgrade on one folder: the second takes up nothing while the first lives, and
+ * after the first's SIGKILL it takes over: the order whose call was out is given up and never sent again,
+ * the notice goes again.
+ */
+public class UpgradeTest {
+    private static final Pattern ID = Pattern.compile("X-Call-Id: (\\S+)");
+    private static final long PATIENCE = 10_000; // ms for each condition
+
+    private final List<String> received = new CopyOnWriteArrayList<>(); // ids of calls, as they came
+    private final List<String> notices = new CopyOnWriteArrayList<>();
+    private final List<Process> programs = new CopyOnWriteArrayList<>();
+    private final List<ServerSocket> servers = new CopyOnWriteArrayList<>();
+
+    @AfterMethod(alwaysRun = true)
+    public void end() throws Exception {
+        for (Process program : programs) {
+            program.destroyForcibly().waitFor();
+        }
+        for (ServerSocket server : servers) {
+            server.close();
+        }
+    }
+
+    /** Reads one request's head and content; null at the connection's end. */
+    private static String request(InputStream in) throws IOException {
+        ByteArrayOutputStream head = new ByteArrayOutputStream();
+        while (!head.toString(StandardCharsets.ISO_8859_1).endsWith("\r\n\r\n")) {
+            int b = in.read();
+            if (b < 0) {
+                return null;
+            }
+            head.write(b);
+        }
+        String text = head.toString(StandardCharsets.ISO_8859_1);
+        Matcher length = Pattern.compile("(?i)Content-Length: (\\d+)").matcher(text);
+        return text + new String(in.readNBytes(length.find() ? Integer.parseInt(length.group(1)) : 0),
+                StandardCharsets.ISO_8859_1);
+    }
+
+    /** A stand-in that serves each connection on a thread of its own. */
+    private int serve(Handler handler) throws IOException {
+        ServerSocket server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        servers.add(server);
+        Thread thread = new Thread(() -> {
+            while (!server.isClosed()) {
+                try {
+                    Socket socket = server.accept();
+                    Thread one = new Thread(() -> {
+                        try (socket) {
+                            for (String got = request(socket.getInputStream()); got != null;
+                                    got = request(socket.getInputStream())) {
+                                handler.handle(got, socket.getOutputStream());
+                            }
+                        } catch (IOException e) {
+                            // the program ended the connection, or was killed
+                        }
+                    });
+                    one.setDaemon(true);
+                    one.start();
+                } catch (IOException e) {
+                    return;
+                }
+            }
+        });
+        thread.setDaemon(true);
+        thread.start();
+        return server.getLocalPort();
+    }
+
+    private interface Handler {
+        void handle(String request, OutputStream out) throws IOException;
+    }
+
+    private static void write(OutputStream out, String text) throws IOException {
+        out.write(text.getBytes(StandardCharsets.ISO_8859_1));
+        out.flush();
+    }
+
+    private Process start(Path config, Path state, int listen) throws Exception {
+        ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java")
+                .toString(), "-cp", System.getProperty("surefire.test.class.path",
+                System.getProperty("java.class.path")), "juniperusher.cli.Main", "serve");
+        builder.environment().put("RELAY_CONFIG", config.toString());
+        builder.environment().put("RELAY_STATE", state.toString());
+        Process program = builder.redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.DISCARD)
+                .start();
+        programs.add(program);
+        await("the program listens", () -> {
+            try (Socket probe = new Socket(InetAddress.getLoopbackAddress(), listen)) {
+                return true;
+            } catch (IOException e) {
+                assertTrue(program.isAlive(), "the program ended");
+                return false;
+            }
+        });
+        return program;
+    }
+
+    private static int handIn(int port, String id, String kind) throws IOException {
+        try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), port)) {
+            socket.setSoTimeout(5_000);
+            write(socket.getOutputStream(), "POST /" + kind + " HTTP/1.1\r\nHost: a\r\nX-Call-Id: " + id
+                    + "\r\nX-Call-Class: " + kind + "\r\nX-Budget: 15000m\r\nX-Envelope: dest=7\r\n"
+                    + "Content-Length: 2\r\n\r\nab");
+            return Integer.parseInt(new String(socket.getInputStream().readNBytes(12),
+                    StandardCharsets.ISO_8859_1).substring(9));
+        }
+    }
+
+    private static void await(String what, BooleanSupplier condition) throws InterruptedException {
+        long until = System.currentTimeMillis() + PATIENCE;
+        while (!condition.getAsBoolean()) {
+            assertTrue(System.currentTimeMillis() < until, "does not come: " + what);
+            Thread.sleep(10);
+        }
+    }
+
+    private long count(String id) {
+        return received.stream().filter(id::equals).count();
+    }
+
+    @Test
+    public void theSecondProcessTakesOverOnlyOnceTheFirstIsKilled() throws Exception {
+        Path folder = Files.createTempDirectory("upgrade");
+        Path state = folder.resolve("state");
+        // The endpoint takes each call and never answers: what was out at the first one's end may have run.
+        int endpoint = serve((request, out) -> {
+            Matcher id = ID.matcher(request);
+            if (id.find()) {
+                received.add(id.group(1));
+            }
+        });
+        String list = "{\"version\":1,\"full\":true,\"servers\":[{\"id\":\"s-1\",\"addr\":\"127.0.0.1:"
+                + endpoint + "\",\"zone\":\"lisboa-1\",\"kind\":\"pequeno-projeto\",\"cell\":7,"
+                + "\"state\":\"up\",\"weight\":5}]}";
+        int discovery = serve((request, out) -> {
+            if (request.startsWith("GET /discovery/hosts?stream=1")) {
+                write(out, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"); // a watch, silent
+            } else if (request.startsWith("GET /discovery/hosts")) {
+                write(out, "HTTP/1.1 200 OK\r\nContent-Length: " + list.length() + "\r\n\r\n" + list);
+            } else {
+                notices.add(request.substring(request.indexOf("\r\n\r\n") + 4));
+                write(out, "HTTP/1.1 204 No Content\r\n\r\n");
+            }
+        });
+        JsonObject json = Json.parse(Files.readString(Path.of("src/main/resources/selftest.json")))
+                .asObject();
+        json.set("discovery", "127.0.0.1:" + discovery);
+        json.get("known").asObject().set("servers",
+                Json.parse(list).asObject().get("servers").asArray());
+        // An order's call stays out until the process ends: its time-out goes by this aim.
+        json.get("settings").asObject().get("requestClasses").asArray().get(1).asObject()
+                .set("objectiveS", 4);
+        int first = free();
+        int second = free();
+        Path one = Files.writeString(folder.resolve("one.json"), json.set("listen", "127.0.0.1:" + first)
+                .toString());
+        Path two = Files.writeString(folder.resolve("two.json"), json.set("listen", "127.0.0.1:" + second)
+                .toString());
+
+        Process old = start(one, state, first);
+        assertEquals(handIn(first, "order", "ordem-build"), 202);
+        assertEquals(handIn(first, "notice", "aviso-push"), 202);
+        await("both calls are out", () -> count("order") == 1 && count("notice") == 1);
+        start(two, state, second);
+        Thread.sleep(500); // a successor that took up the journal would send both again by now
+        assertEquals(count("order"), 1L, "the second process sent the first one's order while it lived");
+        assertEquals(count("notice"), 1L, "the second process sent the first one's notice while it lived");
+
+        old.destroyForcibly().waitFor();
+        await("the order is given up", () -> notices.stream().anyMatch(text ->
+                text.contains("{\"message\":\"order\",\"outcome\":\"given_up\"}")));
+        await("the notice goes again", () -> count("notice") == 2);
+        assertEquals(count("order"), 1L, "an order that may have run was sent again");
+    }
+
+    private static int free() throws IOException {
+        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return free.getLocalPort();
+        }
+    }
+}
