--- a/src/main/java/juniperusher/core/Journal.java
+++ b/src/main/java/juniperusher/core/Journal.java
@@ -103,6 +103,11 @@
             owner = owning != null;
         } catch (java.nio.channels.OverlappingFileLockException e) {
             owner = true; // this very process holds it: a journal opened again, as tests do
+        } catch (IOException e) {
+            // Guards a start where the file system has no locks: the folder is taken as this process's own.
+            LOG.atWarn().log("journal: the folder cannot be locked, and is taken as this process's: {}",
+                    e.toString());
+            owner = true;
         }
         List<Path> old = segments(folder);
         if (!owner) {
