--- a/src/main/java/juniperusher/core/Journal.java
+++ b/src/main/java/juniperusher/core/Journal.java
@@ -137,13 +137,7 @@
     }
 
     private Journal(Path folder) throws IOException {
-        this.folder = folder;
-        limit = 0;
-        reserve = 0;
-        for (Path path : segments(folder)) {
-            replay(Files.readAllBytes(path));
-        }
-        recovered = List.copyOf(owed.values());
+        this(folder, segments(folder));
     }
 
     /** Whether another process owned the folder at the start and has not yet been taken over from. */
--- a/src/main/java/juniperusher/mgmt/Management.java
+++ b/src/main/java/juniperusher/mgmt/Management.java
@@ -54,11 +54,6 @@
         return management;
     }
 
-    /** A listener that is not bound, for tests of the answers alone. */
-    static Management unbound() {
-        return new Management();
-    }
-
     @Override
     public void close() throws IOException {
         if (listening != null) {
--- a/src/test/java/juniperusher/mgmt/ManagementTest.java
+++ b/src/test/java/juniperusher/mgmt/ManagementTest.java
@@ -56,20 +56,12 @@
 
             @Override
             public Answer enter(String id) {
-                if (!id.startsWith("s-")) {
-                    return Answer.UNKNOWN;
-                }
-                held.add(id);
-                return Answer.DONE;
+                return id.startsWith("s-") && (held.add(id) || true) ? Answer.DONE : Answer.UNKNOWN;
             }
 
             @Override
             public Answer exit(String id) {
-                if (!id.startsWith("s-")) {
-                    return Answer.UNKNOWN;
-                }
-                held.remove(id);
-                return Answer.DONE;
+                return id.startsWith("s-") && (held.remove(id) || true) ? Answer.DONE : Answer.UNKNOWN;
             }
         });
     }
