Operators' listener sheds the longest waiting; listeners told apart by address and port

Ruled out: the time-outs (0.023 s after the start) and the listener's backlog (512). The wrong line was the rank of fresh connections in least() for a listener whose calls are short. Found beside it: Network.accepted told listeners apart by port alone, so that a listener of the clients on another address with the same port could take the operators' calls (202 for 200 in the new test).

Change: the bound apart lets the one go that has waited longest, unless it is being served; listeners are matched by address and port.

--- a/src/main/java/juniperusher/net/Inbound.java
+++ b/src/main/java/juniperusher/net/Inbound.java
@@ -16,6 +16,7 @@
 
     private final int most;
     private final Runnable shedOne;
+    private final boolean oldestFirst;
     private final Set<Guest> guests = new LinkedHashSet<>();
 
     /** What a connection is doing. */
@@ -35,15 +36,22 @@
 
     /**
      * A bound of its own, for a listener that clients must not crowd out (the operators' one):
-     * {@code most} connections, {@code shedOne} told of each that is closed for want of room.
+     * {@code most} connections, {@code shedOne} told of each that is closed for want of room. Each carries
+     * one short call, so the one that has waited longest goes first, whatever it has sent: guards a call that
+     * has not yet been read against those that hold half a call beside it.
      */
     public static Inbound apart(int most, Runnable shedOne) {
-        return new Inbound(most, shedOne);
+        return new Inbound(most, shedOne, true);
     }
 
     Inbound(int most, Runnable shedOne) {
+        this(most, shedOne, false);
+    }
+
+    private Inbound(int most, Runnable shedOne, boolean oldestFirst) {
         this.most = most;
         this.shedOne = shedOne;
+        this.oldestFirst = oldestFirst;
     }
 
     /** A connection came in; at the bound the least of the others is closed, or this one if all serve. */
@@ -69,7 +77,8 @@
         int lowest = Integer.MAX_VALUE;
         long now = System.nanoTime();
         for (Guest guest : guests) {
-            int rank = rank(guest.standing(), now - guest.since());
+            int rank = oldestFirst && guest.standing() != Standing.SERVED ? 0
+                    : rank(guest.standing(), now - guest.since());
             if (rank < lowest || rank == lowest && guest.since() - least.since() < 0) {
                 least = guest;
                 lowest = rank;
--- a/src/main/java/juniperusher/net/Network.java
+++ b/src/main/java/juniperusher/net/Network.java
@@ -216,7 +216,10 @@
             for (var listener : listeners.entrySet()) {
                 InetSocketAddress at = (InetSocketAddress) ((ServerSocketChannel) listener.getKey())
                         .getLocalAddress();
-                if (at != null && local != null && at.getPort() == local.getPort()) {
+                // The port alone does not tell: the operators' address may share it with the clients'.
+                if (at != null && local != null && at.getPort() == local.getPort()
+                        && (at.getAddress().isAnyLocalAddress()
+                        || at.getAddress().equals(local.getAddress()))) {
                     found = listener.getValue();
                     break;
                 }
--- a/src/test/java/juniperusher/mgmt/ManagementTest.java
+++ b/src/test/java/juniperusher/mgmt/ManagementTest.java
@@ -4,6 +4,7 @@
 import static org.testng.Assert.assertTrue;
 
 import java.io.ByteArrayOutputStream;
+import java.io.Closeable;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
@@ -16,6 +17,8 @@
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import juniperusher.net.HttpMessage;
+import juniperusher.net.HttpServerConnection;
 import juniperusher.net.Network;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
@@ -68,7 +71,11 @@
 
     /** Sends one call and reads to the end of the connection; the status line's code. */
     private int call(String request) throws IOException {
-        try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), port)) {
+        return call(InetAddress.getLoopbackAddress(), request);
+    }
+
+    private int call(InetAddress address, String request) throws IOException {
+        try (Socket socket = new Socket(address, port)) {
             socket.setSoTimeout(1_000); // an answer is due within 1 s
             OutputStream out = socket.getOutputStream();
             out.write(request.getBytes(StandardCharsets.ISO_8859_1));
@@ -152,4 +159,28 @@
             }
         }
     }
+
+    @Test
+    public void anotherListenerOnTheSamePortKeepsItsOwnCalls() throws Exception {
+        operate();
+        serving = true;
+        try (Closeable clients = network.listen(new InetSocketAddress("127.0.0.2", port), endPoint ->
+                new HttpServerConnection(endPoint, network, 64, new HttpServerConnection.Handler() {
+                    @Override
+                    public void handle(HttpMessage request, HttpServerConnection.Responder responder) {
+                        responder.respond(HttpMessage.response(202, ""));
+                    }
+
+                    @Override
+                    public boolean closing() {
+                        return true;
+                    }
+                }))) {
+            String status = "GET /status HTTP/1.1\r\nHost: relay\r\n\r\n";
+            for (int i = 0; i < 4; i++) {
+                assertEquals(call(InetAddress.getLoopbackAddress(), status), 200);
+                assertEquals(call(InetAddress.getByName("127.0.0.2"), status), 202);
+            }
+        }
+    }
 }
--- a/src/test/java/juniperusher/net/InboundTest.java
+++ b/src/test/java/juniperusher/net/InboundTest.java
@@ -6,12 +6,18 @@
 import java.util.ArrayList;
 import java.util.List;
 import juniperusher.net.Inbound.Standing;
+import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
 /** Who goes when too many connections have come in. */
 public class InboundTest {
     private final List<String> gone = new ArrayList<>();
 
+    @BeforeMethod
+    public void nobodyHasGone() {
+        gone.clear();
+    }
+
     private Inbound.Guest guest(String name, Standing standing, long agoMillis) {
         long since = System.nanoTime() - agoMillis * 1_000_000;
         return new Inbound.Guest() {
@@ -49,4 +55,15 @@
         assertEquals(gone, List.of("mute", "longer idle", "idle", "hangs", "just come", "new 5"));
         assertEquals(inbound.size(), 6);
     }
+
+    @Test
+    public void apartTheLongestWaitingGoesSoThatACallNotYetReadIsKept() {
+        Inbound inbound = Inbound.apart(4, () -> { });
+        for (int i = 0; i < 4; i++) {
+            inbound.add(guest("half a call " + i, Standing.UNFINISHED, 40 - i));
+        }
+        inbound.add(guest("call", Standing.MUTE, 1));
+        inbound.add(guest("straggler", Standing.MUTE, 0));
+        assertEquals(gone, List.of("half a call 0", "half a call 1"));
+    }
 }
