A fleet closes endpoint connections once nothing uses them, so that tables stay free

Each relay kept an idle connection for 10 s to every endpoint that it had called: 60 relays would need 840 places. Control.end closed idle ones only where the destination saw under 0.5 messages a second and a connect had failed at the kind before; a relay of a fleet sees about 0.5 a second of each. Ruled out: the slots (6, not full), the held room (78) and discovery.

--- a/src/main/java/juniperusher/Control.java
+++ b/src/main/java/juniperusher/Control.java
@@ -1,12 +1,6 @@
 package juniperusher;
 
-import java.util.ArrayDeque;
-import java.util.ArrayList;
-import java.util.Comparator;
-import java.util.LinkedHashMap;
-import java.util.List;
-import java.util.Map;
-import java.util.SplittableRandom;
+import java.util.*;
 import juniperusher.Protocol.*;
 
 /**
@@ -62,6 +56,7 @@
     private static final double ANSWER_MARGIN = 0.01; // s, answers come so long before the deadline
     private static final double IDLE_MEMORY = 30.0; // s after a failure in which idle connections are closed
     private static final double RARE = 0.5; // messages/s, an idle connection is hardly used again
+    private static final int LEAST_TABLE = 7; // connections that any endpoint takes, idle ones counted
     private static final double GONE_MEMORY = 5.0; // s, a target that is gone so long is forgotten
     private static final double NEVER = Double.POSITIVE_INFINITY;
 
@@ -77,6 +72,7 @@
     private final List<Bucket> quotas = new ArrayList<>();
     private final Map<TargetState, Call> forming = new LinkedHashMap<>();
     private final List<Gate> trials = new ArrayList<>();
+    private final Set<TargetState> quiet = new LinkedHashSet<>(); // where a call or probe ended this round
     private List<Action> actions = new ArrayList<>();
     private double now = Double.NEGATIVE_INFINITY;
     private int callsOut, trialsOut, trialsWaiting, askFailures;
@@ -113,6 +109,7 @@
         events.forEach(this::take);
         followList();
         dispatch();
+        release();
         shed();
         keys.values().removeIf(queue -> queue.items.isEmpty() && queue.quietUntil <= now);
         setTimer();
@@ -136,7 +133,7 @@
         } else if (event instanceof Woken e && e.token() == wakeToken) {
             pendingWake = NEVER;
         } else if (event instanceof Probed e && targets.containsKey(e.target())) {
-            probed(targets.get(e.target()).gate, e.ok());
+            probed(targets.get(e.target()), e.ok());
         } else if (event instanceof Advised e) {
             advise(destinations.computeIfAbsent(e.destination(), Destination::new), e);
         }
@@ -337,6 +334,20 @@
         return target.calls > 0 ? 0 : idle;
     }
 
+    /** Guards full connection tables against idle ones: a fleet that could fill them with one connection of
+     * each sender closes them once nothing uses them, a few senders only where connects failed lately. */
+    private void release() {
+        for (TargetState target : quiet) {
+            Destination at = target.gate.destination;
+            if (target.calls == 0 && (settings.senders() > LEAST_TABLE || at.held == 0 && demand(at) < RARE
+                    && now - tablesFull.getOrDefault(target.info.kind(), -NEVER) < IDLE_MEMORY)) {
+                actions.add(new CloseIdle(target.info.id()));
+                target.lastUse = -NEVER;
+            }
+        }
+        quiet.clear();
+    }
+
     // ---- its attempt ends ----
 
     private void end(Ended e) {
@@ -353,6 +364,7 @@
         }
         boolean kept = e.outcome() == Outcome.DELIVERED || e.outcome() == Outcome.FULL;
         call.target.lastUse = kept ? now : -NEVER; // the connection is idle now, or was lost
+        quiet.add(call.target);
         if (--call.open == 0) {
             call.target.gate.calls.remove(call);
             call.target.calls--;
@@ -370,11 +382,6 @@
         }
         if (e.over() || item.over) {
             finish(item);
-            // Guards full connection tables against idle ones: where connects failed lately, they are closed.
-            if (call.target.calls == 0 && item.destination.held == 0 && demand(item.destination) < RARE
-                    && now - tablesFull.getOrDefault(call.target.info.kind(), -NEVER) < IDLE_MEMORY) {
-                actions.add(new CloseIdle(call.target.info.id()));
-            }
             return;
         }
         double spread = TOLD_JITTER * crowd * Math.pow(Math.min(2, crowd), item.attempts - 1);
@@ -413,14 +420,10 @@
 
     /** The last moment at which the item may be sent. */
     private double lastSend(Item item) {
-        double last = item.deadline - ANSWER_MARGIN - item.destination.usual() / 2;
-        if (item.attempts >= settings.allowed().attempts()) {
-            return Double.NEGATIVE_INFINITY;
-        }
-        if (!item.mayHaveRun || item.kind.effect() == Effect.SAFE) {
-            return last;
-        }
-        return item.kind.effect() == Effect.UNSAFE ? Double.NEGATIVE_INFINITY
+        boolean spent = item.attempts >= settings.allowed().attempts()
+                || item.mayHaveRun && item.kind.effect() == Effect.UNSAFE;
+        double last = spent ? -NEVER : item.deadline - ANSWER_MARGIN - item.destination.usual() / 2;
+        return !item.mayHaveRun || item.kind.effect() == Effect.SAFE ? last
                 : Math.min(last, item.mayHaveRunSince + item.kind.keyWindow() - ANSWER_MARGIN);
     }
 
@@ -568,7 +571,9 @@
         return call.idle > 0 && e.outcome() == Outcome.RESET;
     }
 
-    private void probed(Gate gate, boolean ok) {
+    private void probed(TargetState target, boolean ok) {
+        Gate gate = target.gate;
+        quiet.add(target);
         if (gate.trialOut && ok) {
             succeeded(gate, true);
         } else if (gate.trialOut) {
@@ -695,11 +700,8 @@
 
     /** Notes the item best fit for a trial. */
     private void offerTrial(Gate gate, TargetState target, Item item) {
-        if (gate.openUntil > now) {
-            wakeBy(gate.openUntil);
-            return;
-        }
-        if (gate.trialOut) {
+        wakeBy(gate.openUntil > now ? gate.openUntil : NEVER);
+        if (gate.openUntil > now || gate.trialOut) {
             return;
         }
         if (gate.trial == null) {
