Turned away by a full connection table is the connection's fault and cuts no pace

Change: a refusal without report or wait, where others of the destination bring reports and a call succeeded there within 3 s, is the connection's fault like a reset of an idle one: no pace cut, no step to the breaker, the short pause, and the other endpoints of the destination first. Without a late success it counts as before, so that a shut destination still opens the breaker.

--- a/src/main/java/juniperusher/Control.java
+++ b/src/main/java/juniperusher/Control.java
@@ -6,9 +6,8 @@
 /**
  * The decision module. Its interface is Protocol.java, beside this file.
  *
- * <p>Each failed delivery waits a jittered, doubling, capped pause; a told wait holds the whole destination
- * and is never cut short; a message whose pause would pass its deadline is given up. One instance, one
- * thread.
+ * <p>A failed delivery waits a jittered, doubling, capped pause; a told wait holds the whole destination and
+ * is never cut short; a message whose pause would pass its deadline is given up. One instance, one thread.
  */
 public final class Control {
     private static final double FIRST_PAUSE = 0.5; // s, base of the first pause: a second try in time
@@ -291,7 +290,8 @@
         int out = 0;
         for (TargetState target : destination.targets) {
             out += target.calls;
-            slow |= target.gate.oldest() < now - target.gate.silence();
+            slow |= !target.gate.calls.isEmpty()
+                    && target.gate.calls.get(0).at < now - target.gate.silence();
         }
         return out >= Math.max(1, settings.allowed().calls() * (slow ? SLOW_BULKHEAD : BULKHEAD));
     }
@@ -386,7 +386,7 @@
         }
         double spread = TOLD_JITTER * crowd * Math.pow(Math.min(2, crowd), item.attempts - 1);
         item.due = now + (e.told() > 0 ? e.told() * (1 + spread * random.nextDouble())
-                : pause(item.attempts, FIRST_PAUSE * (lostIdle(call, e) ? 1 : crowd), PAUSE_CAP));
+                : pause(item.attempts, FIRST_PAUSE * (connectionFault(call, e) ? 1 : crowd), PAUSE_CAP));
         givenUp(item);
     }
 
@@ -522,7 +522,8 @@
             reapedAfter = NEVER;
             refutedAt = now;
         }
-        if (lostIdle(call, e)) {
+        if (connectionFault(call, e)) {
+            target.failures.note(now, e.outcome() == Outcome.FULL ? 1 : target.failures.share(now));
             gate.trialOut &= !call.trial;
             return;
         }
@@ -566,9 +567,12 @@
         }
     }
 
-    /** The connection's fault: the next call, on a new one, tells of the destination. */
-    private static boolean lostIdle(Call call, Ended e) {
-        return call.idle > 0 && e.outcome() == Outcome.RESET;
+    /** The connection's fault, or that of a full table of them, where refusals at the limit bring a report and
+     * calls succeed beside it: the next call, on a new one, tells of the destination. */
+    private boolean connectionFault(Call call, Ended e) {
+        Gate gate = call.target.gate;
+        return call.idle > 0 && e.outcome() == Outcome.RESET || e.outcome() == Outcome.FULL && e.told() == 0
+                && e.report() == null && gate.reported && gate.lastOk() > now - SHUT_AFTER;
     }
 
     private void probed(TargetState target, boolean ok) {
@@ -896,8 +900,7 @@
         final List<TargetState> targets = new ArrayList<>();
         Gate shared; // where routes are not apart; outlives its targets, as waits and paces do
         final Bucket storm = new Bucket(BURST); // what this sender may call there in a storm
-        int held, taken;
-        int hold = Integer.MAX_VALUE;
+        int held, taken, hold = Integer.MAX_VALUE;
         double roomAt; // when there will be room in a storm for the next one refused
         long shut; // the pass over the items in which none of its own can be sent any more
 
@@ -991,10 +994,6 @@
             return last;
         }
 
-        double oldest() {
-            return calls.isEmpty() ? NEVER : calls.get(0).at;
-        }
-
         double silence() {
             double longest = LEAST_SILENCE;
             for (TargetState target : targets) {
--- a/src/test/java/juniperusher/ControlTest.java
+++ b/src/test/java/juniperusher/ControlTest.java
@@ -16,6 +16,7 @@
 import static juniperusher.Script.target;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.TreeSet;
 import org.junit.jupiter.api.Test;
@@ -590,6 +591,41 @@
         }
     }
 
+    /** herd+mass: a full table cut the pace to 1.6 calls/s each at a destination that takes 185 of 60 senders. */
+    @Test
+    void aFullTableOfConnectionsCutsNoPaceAndIsTriedAgainSoon() {
+        for (Report report : Arrays.asList(null, new Report(100, 0.9))) {
+            Script s = new Script(Script.settings(60), target(1, 9, PLAIN, 0));
+            s.play(message(1, SAFE_CLASS, 9));
+            s.end(1, Outcome.DELIVERED, 0, new Report(100, 0.9));
+            s.play(message(2, SAFE_CLASS, 9));
+            s.end(2, Outcome.FULL, 0, report);
+            int more = sends(s.play(message(3, SAFE_CLASS, 9), message(4, SAFE_CLASS, 9))).size();
+            List<Integer> again = sent(s.until(0.6));
+            if (report == null) {
+                assertEquals(2, more, "no pace");
+                assertEquals(List.of(2), again);
+            } else {
+                assertTrue(more < 2, "refused at the limit, which is reported: the pace is cut");
+                assertFalse(again.contains(2), "a fleet's pause");
+            }
+        }
+    }
+
+    /** Without a success beside it, it may be an outage: the breaker opens as ever. */
+    @Test
+    void refusalsWithoutReportAndSuccessStillOpenTheBreaker() {
+        Script s = new Script(Script.settings(60), target(1, 9, PLAIN, 0));
+        s.play(message(1, SAFE_CLASS, 9));
+        s.end(1, Outcome.DELIVERED, 0, new Report(100, 0.9));
+        for (int i = 2; i < 14; i++) {
+            List<Send> out = new ArrayList<>(sends(s.until(3 + i * 0.5)));
+            out.addAll(sends(s.play(message(i, SAFE_CLASS, 9))));
+            out.forEach(send -> s.end(send.message(), Outcome.FULL));
+            assertEquals(i % 2 == 0 && i < 12 ? 1 : 0, out.size(), "one a second, none after 3 s of refusals");
+        }
+    }
+
     @Test
     void aFleetsFullAnswersAndProbesLeaveNoIdleConnection() {
         Script s = new Script(Script.settings(8), target(1, 9, PLAIN, 0));
