A relay that comes back hears discovery's first word before it serves

Wrong lines: Platform's constructor listened and decided right after opening the watch. Ruled out: what was owed (0 at the SIGTERM) and running relays (they heard it at once).

Change: where a process has begun in the folder before, the watch is opened first and the relay decides and listens once discovery has told its list, after 500 ms at the latest; what is told meanwhile goes into the list that it begins with. A first start, with a fresh list, does not wait.

--- a/src/main/java/juniperusher/http/Platform.java
+++ b/src/main/java/juniperusher/http/Platform.java
@@ -3,11 +3,13 @@
 import java.io.Closeable;
 import java.io.IOException;
 import java.nio.channels.ServerSocketChannel;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.stream.Stream;
 import juniperusher.Protocol.Target;
 import juniperusher.Protocol.TargetList;
 import juniperusher.core.Counters;
@@ -35,6 +37,10 @@
     private static final long LAST_UNSAFE = 1_200; // ms after SIGTERM: time for an answer before the end
     private static final long SERVE = 3_200; // ms after SIGTERM; SIGKILL comes after 3.7 s
     private static final long FOLLOW = 250; // ms between two looks at the maintenance file
+    // ms that a process that comes back waits for discovery's first word: the list known last may be older
+    // than a drain that counts as told. An agent that is there answers at once; after the drain rule's half
+    // second a silent one is not waited for.
+    private static final long FIRST_WORD = 500;
     private static final long HANDED_ON_LOOK = 20; // ms between two looks at what is left at an upgrade
 
     private final AtomicReference<Config> config;
@@ -50,6 +56,7 @@
     private final MaintenanceFile maintenanceFile;
     private Maintenance maintenance = Maintenance.NONE;
     private Snapshot told = Snapshot.EMPTY; // discovery's word, before maintenance
+    private boolean deciding; // the relay has started; under the lock of what it is told
     private volatile boolean serving;
     private volatile boolean closed;
     private final boolean handedOn; // the clients' socket is the platform's, and outlives this process
@@ -73,6 +80,7 @@
      */
     public Platform(Config first, Path state, Counters counters, Network network, Extension extension,
             StormSettings storms, ServerSocketChannel inherited) throws Exception {
+        boolean again = ranBefore(state);
         this.counters = counters;
         config = new AtomicReference<>(first);
         this.network = network;
@@ -103,12 +111,15 @@
         if (extension != null) {
             extension.join(relay);
         }
-        Snapshot known = resolver.known(first.known(), extension == null ? List.of() : extension.targets());
+        told = resolver.known(first.known(), extension == null ? List.of() : extension.targets());
+        resolver.start(first.discovery());
+        if (again && !resolver.awaitWord(FIRST_WORD)) {
+            LOG.info("discovery says nothing; beginning with the list known last");
+        }
         synchronized (held) {
-            told = known;
-            relay.start(maintenance.over(known));
+            deciding = true;
+            relay.start(maintenance.over(told));
         }
-        resolver.start(first.discovery());
         peers.start(relay::tell);
         listener = front.listen(network, inherited);
         handedOn = inherited != null;
@@ -120,11 +131,24 @@
         serving = true;
     }
 
+    /** Whether a process has begun in this folder before: then it comes back, perhaps late. */
+    static boolean ranBefore(Path state) throws IOException {
+        if (!Files.isDirectory(state)) {
+            return false;
+        }
+        try (Stream<Path> files = Files.list(state)) {
+            return files.findAny().isPresent();
+        }
+    }
+
     // ---- endpoint maintenance: what discovery says, with the held endpoints draining ----
 
     private void resolved(Relay to, Snapshot snapshot, TargetList list) {
         synchronized (held) {
             told = snapshot;
+            if (!deciding) {
+                return; // the start hands it on whole
+            }
             List<Target> targets = new ArrayList<>();
             for (Target target : list.targets()) {
                 Endpoint endpoint = snapshot.endpoints().get(target.id());
--- a/src/main/java/juniperusher/http/Resolver.java
+++ b/src/main/java/juniperusher/http/Resolver.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
@@ -49,6 +50,7 @@
     private final Map<Integer, HttpPool.Exchange> open = new HashMap<>();
     private final long origin = System.nanoTime();
     private final Thread thread = new Thread(null, this, "membership", STACK);
+    private final CountDownLatch word = new CountDownLatch(1); // until discovery has told a list here
     private volatile Snapshot snapshot = Snapshot.EMPTY;
     private volatile double heardAt;
     private volatile boolean stopped;
@@ -111,6 +113,11 @@
         thread.start();
     }
 
+    /** Waits for discovery's first word, so many milliseconds at most; whether it has come. */
+    boolean awaitWord(long millis) throws InterruptedException {
+        return word.await(millis, TimeUnit.MILLISECONDS);
+    }
+
     /** The agent has another address: the old one is left at once, whether or not it still talks. */
     void moved(InetSocketAddress discovery) {
         events.add(now -> membership.moved(discovery, now));
@@ -190,6 +197,9 @@
         try {
             told.accept(change.snapshot(), change.told());
         } finally {
+            if (snapshot.confirmed()) {
+                word.countDown();
+            }
             change.left().forEach(left -> pool.closeIdle(left.address(), left.target().id()));
         }
         if (!change.told().targets().isEmpty()) {
--- a/src/main/java/juniperusher/http/WarmUp.java
+++ b/src/main/java/juniperusher/http/WarmUp.java
@@ -44,12 +44,8 @@
      * Returns how many were delivered.
      */
     public static long run(Config config, Path state, long millis) throws Exception {
-        if (Files.isDirectory(state)) {
-            try (Stream<Path> files = Files.list(state)) {
-                if (files.findAny().isPresent()) {
-                    return 0;
-                }
-            }
+        if (Platform.ranBefore(state)) {
+            return 0;
         }
         String temporary = System.getenv("TMPDIR"); // the only place that may be written on the platform
         Path folder = temporary == null ? Files.createTempDirectory("warm-up")
