Restart test expects discovery to be heard before the notice of a recovered order

Cause: since a relay that comes back hears discovery before it serves, the first connection to the platform's address is the list's; RestartTest played the notice there ("expected POST /status, found G"). The order was left to chance before. The test now plays the whole list and the watch first and is as strict as it was.

--- a/src/test/java/juniperusher/net/RestartTest.java
+++ b/src/test/java/juniperusher/net/RestartTest.java
@@ -109,11 +109,12 @@
         program.destroyForcibly().waitFor();
         start();
         // Only the notice comes to the endpoint: the order's call was out when the process ended.
-        play(received("endpoint3", "notice")
+        // Discovery is heard first, and the notice of the order's end comes on a connection of its own.
+        play(watch("platform2", LIST, 1) + received("endpoint3", "notice")
                 + "endpoint3> HTTP/1.1 200 OK\\r\\nContent-Length: 0\\r\\n\\r\\n\n");
-        play("platform2< POST /status HTTP/1.1\\r\\nHost: platform\\r\\nContent-Length: 41\\r\\n\\r\\n"
+        play("platform3< POST /status HTTP/1.1\\r\\nHost: platform\\r\\nContent-Length: 41\\r\\n\\r\\n"
                 + "{\"message\":\"order\",\"outcome\":\"given_up\"}\\n\n"
-                + "platform2> HTTP/1.1 204 No Content\\r\\n\\r\\n\n");
+                + "platform3> HTTP/1.1 204 No Content\\r\\n\\r\\n\n");
     }
 
     private void hangUp() throws Exception {
