With all slots out, overdue calls are called off where later ones were answered

Ruled out: deliveries that last long (mean 0.22 s), batches (calls with one message where the kind allows no more).

Change: with every slot out, a call is called off that is overdue (1 s, and the usual time with its ten deviations) while a call sent to that endpoint half a second later or more has been answered.

Test in ControlTest; it sees no call-off while slots are left or without evidence.

--- a/src/main/java/juniperusher/Control.java
+++ b/src/main/java/juniperusher/Control.java
@@ -174,7 +174,9 @@
         trials.clear();
         List<Item> ready = new ArrayList<>();
         for (Item item : List.copyOf(items.values())) {
-            if (!item.over && item.call == null && !givenUp(item) && due(item)) {
+            if (item.call != null && silent(item.call)) {
+                actions.add(new Cancel(item.message.id(), item.attempts - 1));
+            } else if (!item.over && item.call == null && !givenUp(item) && due(item)) {
                 item.rank = rank(item);
                 ready.add(item);
             }
@@ -476,18 +478,9 @@
 
     /** Answers the item of least worth, of one destination or of all; false if none may be refused. */
     private boolean shedOne(Destination only) {
-        Item least = null;
-        double leastWorth = NEVER;
-        for (Item item : items.values()) {
-            if (item.call == null && !item.over && mayRefuse(item)
-                    && (only == null || item.destination == only)) {
-                double worth = worth(item) / item.destination.held;
-                if (worth < leastWorth) {
-                    least = item;
-                    leastWorth = worth;
-                }
-            }
-        }
+        Item least = items.values().stream().filter(item -> item.call == null && !item.over && mayRefuse(item)
+                && (only == null || item.destination == only)).min(Comparator.comparingDouble(item ->
+                worth(item) / item.destination.held)).orElse(null);
         if (least != null) {
             answer(least);
         }
@@ -547,6 +540,7 @@
             case DELIVERED -> {
                 target.answered(e.elapsed());
                 target.lastOk = now;
+                target.lastOkSent = Math.max(target.lastOkSent, call.at);
                 target.cap += target.calls >= target.cap - 1 ? 0.1 : 0;
                 succeeded(gate, call.trial);
             }
@@ -653,6 +647,13 @@
         gate.badSince = gate.bad++ == 0 ? now : gate.badSince;
     }
 
+    /** Guards slots, when all are out, against connections gone silent: later calls there are answered. */
+    private boolean silent(Call call) {
+        return settings.allowed().cancel() && callsOut >= settings.allowed().calls()
+                && call.target.lastOkSent - call.at > LEAST_SILENCE / 2
+                && now - call.at > Math.max(LEAST_SILENCE, call.target.longest());
+    }
+
     private boolean silent(Gate gate) {
         double from = gate.calls.isEmpty() ? NEVER : gate.lastOk();
         double until = gate.calls.isEmpty() ? -NEVER : now - gate.silence();
@@ -802,10 +803,8 @@
                 known.gate.targets.add(known);
                 destination.targets.add(known);
                 targets.put(info.id(), known);
-            } else {
-                continue;
             }
-            if (settings.weight() != Weight.NONE && info.phase() != Phase.GONE) {
+            if (known != null && settings.weight() != Weight.NONE && info.phase() != Phase.GONE) {
                 known.gate.listed = info.weight();
                 known.gate.known = known.gate.reported ? known.gate.known : info.weight();
             }
@@ -932,7 +931,7 @@
         final boolean apart;
         final Failures failures = new Failures();
         double cap = NEVER;
-        double lastOk = -NEVER, lastUse = -NEVER;
+        double lastOk = -NEVER, lastOkSent = -NEVER, lastUse = -NEVER;
         double readyAt = Double.NEGATIVE_INFINITY; // last seen listed or with a call out
         Gate gate;
         Target info;
--- a/src/test/java/juniperusher/ControlTest.java
+++ b/src/test/java/juniperusher/ControlTest.java
@@ -18,13 +18,16 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
+import java.util.Set;
 import java.util.TreeSet;
+import java.util.stream.Collectors;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 import juniperusher.Protocol.Action;
 import juniperusher.Protocol.Advised;
 import juniperusher.Protocol.Allowed;
+import juniperusher.Protocol.Cancel;
 import juniperusher.Protocol.Ended;
 import juniperusher.Protocol.Event;
 import juniperusher.Protocol.Fail;
@@ -764,6 +767,25 @@
         assertEquals(3.0, last.get(0).timeout(), "most slots are held: one more waits its aim");
     }
 
+    /** pieces+silent+leave: silent connections held a quarter of the slots, orders for 4 s each. */
+    @Test
+    void withAllSlotsOutAnOverdueCallIsCalledOffWhereLaterOnesWereAnswered() {
+        Script s = new Script(Script.settings(), target(1, 9, PLAIN, 0), target(2, 8, PLAIN, 0),
+                target(3, 7, PLAIN, 0));
+        s.play(message(1, UNSAFE_CLASS, 9));
+        s.play(message(2, UNSAFE_CLASS, 8));
+        s.until(1);
+        s.play(message(3, SAFE_CLASS, 9));
+        s.end(3, Outcome.DELIVERED);
+        List<Action> heard = new ArrayList<>(s.until(2));
+        assertFalse(heard.stream().anyMatch(Cancel.class::isInstance), "slots are left");
+        for (int i = 4; i < 60; i++) {
+            heard.addAll(s.play(message(i, SAFE_CLASS, 7 + i % 3)));
+        }
+        assertEquals(Set.of(new Cancel(1, 0)), heard.stream().filter(Cancel.class::isInstance)
+                .collect(Collectors.toSet()), "no later call was answered where the second is out");
+    }
+
     @Test
     void idleConnectionsAreClosedOnceAConnectFailedAtTheKind() {
         Script s = new Script(Script.settings(), target(1, 9, PLAIN, 0), target(2, 8, PLAIN, 0),
