An endpoint back from a drain begins cold; waits shared only at handed-on sockets

Shared waits were written at every told wait and looked at 40 times a second where no second process can ever run.

--- a/src/main/java/juniperusher/Control.java
+++ b/src/main/java/juniperusher/Control.java
@@ -240,13 +240,14 @@
                     || !target.gate.hung && item.kind.effect() == Effect.KEYED)) {
                 return target;
             }
-            // Guards against a flaky endpoint beside sound ones: its failures count like so many calls' work,
-            // more where a failure binds the message or is final. Harms nothing but the even spread.
+            // Guards against a flaky endpoint beside sound ones, more where a failure binds or is final.
             double load = (target.calls + 1) * target.usual()
                     * (1 + (item.kind.zoneOnly() || item.kind.effect() == Effect.UNSAFE ? FLAKY_BOUND : FLAKY)
                     * target.failures.share(now));
             load *= settings.crossZoneFee() > 0 && target.info.zone() != settings.zone() ? 2 : 1;
-            load += fee(item, target);
+            // Guards an endpoint back from a drain against its full part: restarted meanwhile, it is cold.
+            double warm = (now - target.backAt) / Math.max(settings.rules().warmWithin(), ANSWER_MARGIN);
+            load = load / Math.max(settings.rules().coldFrom(), Math.min(1, warm)) + fee(item, target);
             if (load < least && target.calls + 1 <= target.cap && admits(target, item)) {
                 best = target;
                 least = load;
@@ -669,9 +670,8 @@
     private void trip(Gate gate, String reason) {
         if (!gate.open) {
             gate.trips = 0;
-            if (gate.bad == 0) {
-                noteBad(gate);
-            }
+            gate.badSince = Math.min(gate.badSince, now);
+            gate.bad = Math.max(1, gate.bad);
             actions.add(new Log("open " + gate.name + " reason=" + reason));
         }
         gate.open = true;
@@ -793,6 +793,8 @@
         for (Target info : event.targets()) {
             TargetState known = targets.get(info.id());
             if (known != null) {
+                boolean back = known.info.phase() == Phase.DRAINING && info.phase() == Phase.READY;
+                known.backAt = back ? now : known.backAt;
                 known.info = info;
             } else if (info.phase() != Phase.GONE) {
                 known = new TargetState(info, settings.kinds().get(info.kind()));
@@ -931,7 +933,7 @@
         final boolean apart;
         final Failures failures = new Failures();
         double cap = NEVER;
-        double lastOk = -NEVER, lastOkSent = -NEVER, lastUse = -NEVER;
+        double lastOk = -NEVER, lastOkSent = -NEVER, lastUse = -NEVER, backAt = -NEVER;
         double readyAt = Double.NEGATIVE_INFINITY; // last seen listed or with a call out
         Gate gate;
         Target info;
--- a/src/main/java/juniperusher/core/Relay.java
+++ b/src/main/java/juniperusher/core/Relay.java
@@ -51,7 +51,8 @@
     private volatile Settings settings;
     private final Set<Integer> everUnsafe = ConcurrentHashMap.newKeySet(); // places of classes, see unsafe
     private final Journal journal;
-    private final SharedWaits waits;
+    private final Path state;
+    private SharedWaits waits; // or null, where no other process can run beside this one
     private final Counters counters;
     private final Subchannels subchannels;
     private final NoteSender notes;
@@ -90,7 +91,7 @@
         this.companion = companion;
         timers.setRemoveOnCancelPolicy(true); // else each answered call's timer stays up to its time-out
         journal = new Journal(state, diskBytes, settings.allowed().held());
-        waits = new SharedWaits(state);
+        this.state = state;
         loop = new DecisionLoop(new Control(settings, seed), companion, gap, this::carryOut);
         counters.gauge("held", held::size);
         counters.gauge("journal_bytes", journal::bytes);
@@ -101,6 +102,14 @@
         fronts.put(front.name(), front);
     }
 
+    /**
+     * Another process may run on the same folder at an upgrade: waits told to either hold both. To be called
+     * before {@link #start}; without it no file is written or looked at for them.
+     */
+    public void shareWaits() {
+        waits = new SharedWaits(state);
+    }
+
     /** Starts deciding, and takes up again what an earlier process left owed. */
     public void start(Snapshot known) {
         resolved(known, Membership.whole(known));
@@ -109,8 +118,10 @@
         }
         loopThread = new Thread(loop, "decide");
         loopThread.start();
-        timers.scheduleWithFixedDelay(this::followWaits, FOLLOW_WAITS, FOLLOW_WAITS,
-                java.util.concurrent.TimeUnit.MILLISECONDS);
+        if (waits != null) {
+            timers.scheduleWithFixedDelay(this::followWaits, FOLLOW_WAITS, FOLLOW_WAITS,
+                    java.util.concurrent.TimeUnit.MILLISECONDS);
+        }
         if (journal.successor()) {
             Thread takeOver = new Thread(null, this::takeOver, "take-over", 256 * 1024);
             takeOver.setDaemon(true);
@@ -366,8 +377,10 @@
     private void heard(Target target, CallResult result) {
         if (result.told() > 0) {
             guards.wait(target.destination(), result.told());
-            waits.told(target.destination(),
-                    System.currentTimeMillis() + (long) Math.ceil(result.told() * 1000));
+            if (waits != null) {
+                waits.told(target.destination(),
+                        System.currentTimeMillis() + (long) Math.ceil(result.told() * 1000));
+            }
         }
     }
 
--- a/src/main/java/juniperusher/http/Platform.java
+++ b/src/main/java/juniperusher/http/Platform.java
@@ -116,6 +116,9 @@
         if (again && !resolver.awaitWord(FIRST_WORD)) {
             LOG.info("discovery says nothing; beginning with the list known last");
         }
+        if (inherited != null) {
+            relay.shareWaits(); // only there can an upgrade's other process run beside this one
+        }
         synchronized (held) {
             deciding = true;
             relay.start(maintenance.over(told));
--- a/src/test/java/juniperusher/ControlTest.java
+++ b/src/test/java/juniperusher/ControlTest.java
@@ -786,6 +786,25 @@
                 .collect(Collectors.toSet()), "no later call was answered where the second is out");
     }
 
+    /** Operators' days: an endpoint held out for maintenance is restarted meanwhile and comes back cold. */
+    @Test
+    void anEndpointBackFromADrainGetsItsPartOnlyAsItWarmsUp() {
+        Target one = target(1, 9, PLAIN, 0);
+        Target two = target(2, 9, PLAIN, 0);
+        Script s = new Script(Script.settings(), one, two);
+        s.play(new TargetList(false, List.of(phase(two, Phase.DRAINING))));
+        s.until(5);
+        s.play(new TargetList(false, List.of(two)));
+        List<Send> cold = sends(s.play(message(1, SAFE_CLASS, 9), message(2, SAFE_CLASS, 9),
+                message(3, SAFE_CLASS, 9), message(4, SAFE_CLASS, 9)));
+        assertEquals(List.of(1, 1, 1, 1), cold.stream().map(Send::target).toList());
+        cold.forEach(send -> s.end(send.message(), Outcome.DELIVERED));
+        s.until(30);
+        List<Send> warm = sends(s.play(message(5, SAFE_CLASS, 9), message(6, SAFE_CLASS, 9),
+                message(7, SAFE_CLASS, 9), message(8, SAFE_CLASS, 9)));
+        assertTrue(warm.stream().anyMatch(send -> send.target() == 2), "warm again");
+    }
+
     @Test
     void idleConnectionsAreClosedOnceAConnectFailedAtTheKind() {
         Script s = new Script(Script.settings(), target(1, 9, PLAIN, 0), target(2, 8, PLAIN, 0),
