Only fleets of more than fifty relays close connections after each use

Wrong line: LEAST_TABLE = 7 in release(): with few relays the tables have room (0 to 6 failed connects in 5 s), and a handshake before each call made calls longer (p50 262 -> 320 ms) and the slots fewer.

All tests pass (226 and 73), style checked.

--- a/src/main/java/juniperusher/Control.java
+++ b/src/main/java/juniperusher/Control.java
@@ -55,7 +55,7 @@
     private static final double ANSWER_MARGIN = 0.01; // s, answers come so long before the deadline
     private static final double IDLE_MEMORY = 30.0; // s after a failure in which idle connections are closed
     private static final double RARE = 0.5; // messages/s, an idle connection is hardly used again
-    private static final int LEAST_TABLE = 7; // connections that any endpoint takes, idle ones counted
+    private static final int FLEET = 50; // senders: an idle connection of each fills most endpoints' tables
     private static final double GONE_MEMORY = 5.0; // s, a target that is gone so long is forgotten
     private static final double NEVER = Double.POSITIVE_INFINITY;
 
@@ -337,12 +337,12 @@
         return target.calls > 0 ? 0 : idle;
     }
 
-    /** Guards full connection tables against idle ones: a fleet that could fill them with one connection of
-     * each sender closes them once nothing uses them, a few senders only where connects failed lately. */
+    /** Guards full connection tables against idle ones: a fleet, whose idle ones would fill them, closes
+     * each once nothing uses it; fewer senders, to spare handshakes, where connects failed lately. */
     private void release() {
         for (TargetState target : quiet) {
             Destination at = target.gate.destination;
-            if (target.calls == 0 && (settings.senders() > LEAST_TABLE || at.held == 0 && demand(at) < RARE
+            if (target.calls == 0 && (settings.senders() > FLEET || at.held == 0 && demand(at) < RARE
                     && now - tablesFull.getOrDefault(target.info.kind(), -NEVER) < IDLE_MEMORY)) {
                 actions.add(new CloseIdle(target.info.id()));
                 target.lastUse = -NEVER;
