--- a/src/main/java/juniperusher/http/Notices.java
+++ b/src/main/java/juniperusher/http/Notices.java
@@ -21,10 +21,8 @@
 final class Notices {
     private static final Logger LOG = LoggerFactory.getLogger(Notices.class);
     private static final int MOST = 100; // lines in one notice, well below the limit of a body
-    private static final long AGAIN = 20; // ms
-    // ms for what comes at once. A notice is due within 300 ms, and its connection may have fallen silent:
-    // two more tries fit into that.
-    private static final long PATIENCE = 80;
+    private static final long AGAIN = 50; // ms
+    private static final long PATIENCE = 200; // ms for what comes at once; a notice is due within 300 ms
 
     private final Supplier<InetSocketAddress> platform;
     private final HttpPool pool;
