Connections are closed where a table was seen full, whatever the fleet's size

Ruled out: slots (0 to 2 of 6 out), the held room (100 of 548), processor time (0.2 of 0.5 in the mean), discovery.

Change: a refusal without report or wait, at a kind whose answers bring reports, is a full table; so is a connect that fails beside successes. For half a minute connections of that kind are closed once nothing uses them. FLEET and RARE are gone. The same proof holds before the destination itself has reported.

--- a/src/main/java/juniperusher/Control.java
+++ b/src/main/java/juniperusher/Control.java
@@ -54,8 +54,6 @@
     private static final double QUOTA_BURST = 2.0; // s of its quota a tenant may send at once within share
     private static final double ANSWER_MARGIN = 0.01; // s, answers come so long before the deadline
     private static final double IDLE_MEMORY = 30.0; // s after a failure in which idle connections are closed
-    private static final double RARE = 0.5; // messages/s, an idle connection is hardly used again
-    private static final int FLEET = 50; // senders: an idle connection of each fills most endpoints' tables
     private static final double GONE_MEMORY = 5.0; // s, a target that is gone so long is forgotten
     private static final double NEVER = Double.POSITIVE_INFINITY;
 
@@ -67,7 +65,8 @@
     private final Map<Integer, TargetState> targets = new LinkedHashMap<>();
     private final Map<Integer, Destination> destinations = new LinkedHashMap<>();
     private final Map<Long, KeyQueue> keys = new LinkedHashMap<>();
-    private final Map<Integer, Double> tablesFull = new LinkedHashMap<>(); // by kind: a connect failed
+    private final Map<Integer, Double> tablesFull = new LinkedHashMap<>(); // by kind: no place was left
+    private final Set<Integer> reporting = new TreeSet<>(); // kinds whose answers bring reports
     private final List<Bucket> quotas = new ArrayList<>();
     private final Map<TargetState, Call> forming = new LinkedHashMap<>();
     private final List<Gate> trials = new ArrayList<>();
@@ -337,13 +336,12 @@
         return target.calls > 0 ? 0 : idle;
     }
 
-    /** Guards full connection tables against idle ones: a fleet, whose idle ones would fill them, closes
-     * each once nothing uses it; fewer senders, to spare handshakes, where connects failed lately. */
+    /** Guards full connection tables against the idle ones of all senders: where a connection found no
+     * place lately, at any endpoint of the kind, each is closed once nothing uses it. */
     private void release() {
         for (TargetState target : quiet) {
-            Destination at = target.gate.destination;
-            if (target.calls == 0 && (settings.senders() > FLEET || at.held == 0 && demand(at) < RARE
-                    && now - tablesFull.getOrDefault(target.info.kind(), -NEVER) < IDLE_MEMORY)) {
+            if (target.calls == 0
+                    && now - tablesFull.getOrDefault(target.info.kind(), -NEVER) < IDLE_MEMORY) {
                 actions.add(new CloseIdle(target.info.id()));
                 target.lastUse = -NEVER;
             }
@@ -516,6 +514,9 @@
             reapedAfter = NEVER;
             refutedAt = now;
         }
+        if (noPlace(call, e)) {
+            tablesFull.put(target.info.kind(), now);
+        }
         if (connectionFault(call, e)) {
             target.failures.note(now, e.outcome() == Outcome.FULL ? 1 : target.failures.share(now));
             gate.trialOut &= !call.trial;
@@ -531,6 +532,7 @@
         }
         if (e.report() != null) {
             gate.reported = true;
+            reporting.add(target.info.kind());
             gate.known = e.report().limit();
             // Guards against a pace that lags behind a limit that is back: others leave room for this share.
             if (call.at > gate.pace.cutAt + REPORT_AGE && e.report().left() > LEAST_LEFT) {
@@ -541,16 +543,17 @@
             case DELIVERED -> {
                 target.answered(e.elapsed());
                 target.lastOk = now;
+                gate.lastOk = now;
                 target.lastOkSent = Math.max(target.lastOkSent, call.at);
                 target.cap += target.calls >= target.cap - 1 ? 0.1 : 0;
                 succeeded(gate, call.trial);
             }
             case FULL -> full(gate, call, e.told());
             case NOT_CONNECTED -> {
-                tablesFull.put(target.info.kind(), now);
                 // Guards against taking a full connection table for an outage: other calls still succeed.
                 if (!gate.open && target.calls > 1
                         && target.lastOk > now - settings.allowed().connectTimeout()) {
+                    tablesFull.put(target.info.kind(), now);
                     target.cap = Math.max(1, target.calls - 1);
                 } else {
                     failed(gate, call.trial, "failed connects");
@@ -562,12 +565,16 @@
         }
     }
 
-    /** The connection's fault, or a full table's, where refusals at the limit bring a report and calls
-     * succeed beside it: the next call, on a new one, tells of the destination. */
+    /** The connection's fault, or a full table's while calls succeed: the next tells of the destination. */
     private boolean connectionFault(Call call, Ended e) {
-        Gate gate = call.target.gate;
-        return call.idle > 0 && e.outcome() == Outcome.RESET || e.outcome() == Outcome.FULL && e.told() == 0
-                && e.report() == null && gate.reported && gate.lastOk() > now - SHUT_AFTER;
+        return call.idle > 0 && e.outcome() == Outcome.RESET
+                || noPlace(call, e) && call.target.gate.lastOk > now - SHUT_AFTER;
+    }
+
+    /** Whether no connection had room: all other answers of the kind, refusals too, bring reports. */
+    private boolean noPlace(Call call, Ended e) {
+        return e.outcome() == Outcome.FULL && e.told() == 0 && e.report() == null
+                && reporting.contains(call.target.info.kind());
     }
 
     private void probed(TargetState target, boolean ok) {
@@ -656,7 +663,7 @@
     }
 
     private boolean silent(Gate gate) {
-        double from = gate.calls.isEmpty() ? NEVER : gate.lastOk();
+        double from = gate.calls.isEmpty() ? NEVER : gate.lastOk;
         double until = gate.calls.isEmpty() ? -NEVER : now - gate.silence();
         int overdue = 0;
         for (Call call : gate.calls) {
@@ -975,7 +982,7 @@
         final Bucket ramp = new Bucket(BURST);
         final Rate successes = new Rate();
         final Failures failures = new Failures();
-        double badSince = NEVER, rampFrom = NEVER, rampCut = 1;
+        double badSince = NEVER, rampFrom = NEVER, rampCut = 1, lastOk = -NEVER;
         double toldUntil, known, best, listed, rampCutAt, openUntil;
         boolean reported, open, hung, trialOut;
         int bad, trips;
@@ -987,14 +994,6 @@
             name = "destination=" + destination.id + (route == null ? "" : " route=" + route.id());
         }
 
-        double lastOk() {
-            double last = -NEVER;
-            for (TargetState target : targets) {
-                last = Math.max(last, target.lastOk);
-            }
-            return last;
-        }
-
         double silence() {
             double longest = LEAST_SILENCE;
             for (TargetState target : targets) {
