A watch that discovery turns away keeps its index and comes back spread and later

Ruled out: slots (1 to 3 of 5 out), the paces (destination 3 and 7 were served at them), restarts (the four that were not restarted had the same list).

Change: 429 and 503 are a state of their own (turnedAway): the index stays, Retry-After is waited out. Every failure in a row doubles a jittered pause, 0.25 to 0.5 s first, 2 to 4 s at most; a word resets it. Reading Retry-After is one method of HttpMessage now.

--- a/src/main/java/juniperusher/http/HttpSubchannels.java
+++ b/src/main/java/juniperusher/http/HttpSubchannels.java
@@ -16,7 +16,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicReference;
-import java.util.regex.Pattern;
 import juniperusher.Protocol.Report;
 import juniperusher.Protocol.Target;
 import juniperusher.core.CallEnd;
@@ -31,9 +30,6 @@
 final class HttpSubchannels implements Subchannels {
     private static final long PROBE_MS = 1_500; // an endpoint that answers no probe by then is down
 
-    private static final Pattern NUMBER =
-            Pattern.compile("[+-]?\\d{1,12}(\\.\\d{0,12})?([eE][+-]?\\d{1,2})?");
-
     private final HttpPool pool;
     private final Network network;
     private final Resolver resolver;
@@ -71,7 +67,7 @@
                     @Override
                     public void answered(HttpMessage response) {
                         leave();
-                        double told = told(response);
+                        double told = response.retryAfter();
                         Report report = report(response);
                         List<CallEnd> ends = ends(response, rpcs);
                         for (int i = 0; i < rpcs.size(); i++) {
@@ -144,17 +140,6 @@
         return rpcs.stream().map(rpc -> byId.getOrDefault(rpc.id(), CallEnd.FAILED)).toList();
     }
 
-    private static double told(HttpMessage response) {
-        String wait = response.get("Retry-After");
-        double seconds = wait == null ? 0 : number(wait);
-        return seconds > 0 ? seconds : 0; // nor is one that cannot be read a wait
-    }
-
-    /** A decimal number, or NaN for what is none: 'Infinity' and '0x1p3' are none. */
-    private static double number(String text) {
-        return NUMBER.matcher(text.strip()).matches() ? Double.parseDouble(text.strip()) : Double.NaN;
-    }
-
     private Report report(HttpMessage response) {
         String text = response.get("X-Load-Report");
         if (text == null || config.settings().limitField() < 0) {
@@ -164,7 +149,7 @@
         double left = 0;
         for (String part : text.split(",")) {
             int at = part.indexOf('=');
-            double value = at < 0 ? Double.NaN : number(part.substring(at + 1));
+            double value = at < 0 ? Double.NaN : HttpMessage.number(part.substring(at + 1));
             if (!(value >= 0)) {
                 return null; // a report that cannot be read is none; the answer stands
             }
--- a/src/main/java/juniperusher/http/Resolver.java
+++ b/src/main/java/juniperusher/http/Resolver.java
@@ -72,7 +72,7 @@
         this.counters = counters;
         this.told = told;
         reader = new AgentList(config.kinds(), config.zones());
-        membership = new Membership(timing, List.of());
+        membership = new Membership(timing, List.of(), config.seed());
         thread.setDaemon(true);
         counters.gauge("discovery_age_seconds", () -> now() - heardAt);
         counters.gauge("membership_version", () -> snapshot.version());
@@ -225,10 +225,10 @@
             if (whole) {
                 return false;
             }
-            events.add(now -> membership.heard(number, now));
             if (status != 200) {
                 return true;
             }
+            events.add(now -> membership.heard(number, now));
             for (byte b : piece) {
                 if (b != '\n') {
                     line.write(b);
@@ -275,6 +275,12 @@
         public void answered(HttpMessage response) {
             if (whole && response.status() == 200) {
                 tell(response.text());
+            } else if (response.status() == 429 || response.status() == 503) {
+                double told = response.retryAfter();
+                LOG.atWarn().addKeyValue("watch", number).addKeyValue("wait", told)
+                        .log("discovery turned it away with {}", response.status());
+                counters.add("watch_turned_away_total");
+                events.add(now -> membership.turnedAway(number, told, now));
             } else if (response.status() != 200) {
                 LOG.atWarn().addKeyValue("watch", number).log("discovery answered {}", response.status());
                 events.add(now -> membership.damaged(number, now)); // it may not know the index any more
--- a/src/main/java/juniperusher/membership/Membership.java
+++ b/src/main/java/juniperusher/membership/Membership.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.SplittableRandom;
 import juniperusher.Protocol.Target;
 import juniperusher.Protocol.TargetList;
 
@@ -20,12 +21,12 @@
     private String at = "none";
     private double heardAt;
 
-    /** Made of its times and the names of further sources, which rank behind discovery. */
-    public Membership(Timing timing, List<String> further) {
+    /** Made of its times, the names of further sources, which rank behind discovery, and a seed. */
+    public Membership(Timing timing, List<String> further, long seed) {
         List<String> sources = new ArrayList<>(List.of(DISCOVERY));
         sources.addAll(further);
         roster = new Roster(sources, timing.memory());
-        watch = new Watch(timing);
+        watch = new Watch(timing, new SplittableRandom(seed));
     }
 
     /** What was known before discovery says anything: an old list of its own, and endpoints that stay. */
@@ -72,6 +73,11 @@
         return watch.damaged(number, now);
     }
 
+    /** Discovery refused a watch for want of room, and told to wait so many seconds, 0 for none. */
+    public List<Step> turnedAway(int number, double told, double now) {
+        return watch.turnedAway(number, told, now);
+    }
+
     /** A watch has ended, for whatever reason. */
     public List<Step> ended(int number, double now) {
         return watch.ended(number, now);
--- a/src/main/java/juniperusher/membership/Watch.java
+++ b/src/main/java/juniperusher/membership/Watch.java
@@ -3,11 +3,14 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.SplittableRandom;
 
 /**
  * The watch on discovery: at most one is in force, and whenever none is, one is due. An index counts only
  * where it was told, so at an address that has told nothing yet the whole list is fetched first; the same
- * after a line that could not be read, since what it said would otherwise be missed for good.
+ * after a line that could not be read, since what it said would otherwise be missed for good. Each failure
+ * in a row doubles a jittered pause: discovery serves a whole fleet, and what it turns away all at once
+ * would come back all at once.
  */
 final class Watch {
     private final Timing timing;
@@ -20,10 +23,13 @@
     private boolean numbered;
     private long version;
     private double patience; // with the whole list; grows, since an agent that is always late is not silent
+    private int failures; // in a row
     private boolean stopped;
+    private final SplittableRandom random;
 
-    Watch(Timing timing) {
+    Watch(Timing timing, SplittableRandom random) {
         this.timing = timing;
+        this.random = random;
         patience = timing.silentWhole();
     }
 
@@ -34,6 +40,7 @@
         address = to;
         numbered = false;
         patience = timing.silentWhole();
+        failures = 0;
         List<Step> steps = new ArrayList<>(leave());
         openAt = now;
         steps.addAll(tick(now));
@@ -46,6 +53,7 @@
             return false;
         }
         heardAt = now;
+        failures = 0;
         return true;
     }
 
@@ -68,7 +76,16 @@
             return List.of();
         }
         numbered = false;
-        openAt = now + timing.again();
+        openAt = now + pause();
+        return leave();
+    }
+
+    /** Discovery refused the watch and told to wait so many seconds, 0 for none: the index still counts. */
+    List<Step> turnedAway(int watch, double told, double now) {
+        if (watch != inForce || watch == 0) {
+            return List.of();
+        }
+        openAt = now + Math.max(told, 0) + pause();
         return leave();
     }
 
@@ -76,7 +93,7 @@
     List<Step> ended(int watch, double now) {
         if (watch == inForce && watch != 0) {
             inForce = 0;
-            openAt = now + timing.again();
+            openAt = now + pause();
         }
         return List.of();
     }
@@ -90,7 +107,7 @@
         if (inForce != 0 && now - heardAt > silence()) {
             patience = Math.min(timing.silent(), whole ? patience * 2 : patience);
             steps.addAll(leave());
-            openAt = now + timing.again();
+            openAt = now + pause();
         }
         if (inForce == 0 && now >= openAt) {
             inForce = ++last;
@@ -116,6 +133,12 @@
         return List.of(new Step.Abandon(left));
     }
 
+    /** Half of a doubling, bounded base and a random share of the other half. */
+    private double pause() {
+        double base = Math.min(timing.most(), timing.again() * Math.pow(2, failures++));
+        return base / 2 + random.nextDouble() * base / 2;
+    }
+
     int inForce() {
         return inForce;
     }
--- a/src/main/java/juniperusher/net/HttpMessage.java
+++ b/src/main/java/juniperusher/net/HttpMessage.java
@@ -4,6 +4,7 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
+import java.util.regex.Pattern;
 import org.eclipse.jetty.http.HttpField;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpGenerator;
@@ -21,6 +22,8 @@
  */
 public record HttpMessage(String start, HttpFields fields, byte[] body) {
     private static final int HEAD = 4096;
+    private static final Pattern NUMBER =
+            Pattern.compile("[+-]?\\d{1,12}(\\.\\d{0,12})?([eE][+-]?\\d{1,2})?");
 
     /** A request; {@code fields} are names and values in turn. */
     public static HttpMessage request(String method, String path, byte[] body, String... fields) {
@@ -61,6 +64,18 @@
         return fields.get(name);
     }
 
+    /** The wait that {@code Retry-After} tells, in seconds; 0 for none or one that is no number. */
+    public double retryAfter() {
+        String wait = get("Retry-After");
+        double seconds = wait == null ? 0 : number(wait);
+        return seconds > 0 ? seconds : 0;
+    }
+
+    /** A decimal number, or NaN for what is none: 'Infinity' and '0x1p3' are none. */
+    public static double number(String text) {
+        return NUMBER.matcher(text.strip()).matches() ? Double.parseDouble(text.strip()) : Double.NaN;
+    }
+
     /** The content as text. */
     public String text() {
         return new String(body, StandardCharsets.UTF_8);
