Fleets of more than fifty relays close idle connections before any table was full

Wrong line: release() without the step.

Change: the step of 50 senders is back beside the proof; a proof alone serves 2 to 50.

ControlTest passes.

--- a/src/main/java/juniperusher/Control.java
+++ b/src/main/java/juniperusher/Control.java
@@ -54,6 +54,7 @@
     private static final double QUOTA_BURST = 2.0; // s of its quota a tenant may send at once within share
     private static final double ANSWER_MARGIN = 0.01; // s, answers come so long before the deadline
     private static final double IDLE_MEMORY = 30.0; // s after a failure in which idle connections are closed
+    private static final int FLEET = 50; // senders: too many for each to learn it from a refusal of its own
     private static final double GONE_MEMORY = 5.0; // s, a target that is gone so long is forgotten
     private static final double NEVER = Double.POSITIVE_INFINITY;
 
@@ -337,11 +338,11 @@
     }
 
     /** Guards full connection tables against the idle ones of all senders: where a connection found no
-     * place lately, at any endpoint of the kind, each is closed once nothing uses it. */
+     * place lately, at any endpoint of the kind, and in a fleet, each is closed once nothing uses it. */
     private void release() {
         for (TargetState target : quiet) {
-            if (target.calls == 0
-                    && now - tablesFull.getOrDefault(target.info.kind(), -NEVER) < IDLE_MEMORY) {
+            if (target.calls == 0 && (settings.senders() > FLEET
+                    || now - tablesFull.getOrDefault(target.info.kind(), -NEVER) < IDLE_MEMORY)) {
                 actions.add(new CloseIdle(target.info.id()));
                 target.lastUse = -NEVER;
             }
