A wait that discovery tells is heeded for four seconds at most

Cause: read again, Watch.turnedAway added any Retry-After to the pause. A wait of an hour, or a number that is nonsense, would have kept the relay from its list until the next SIGHUP, and from drains told meanwhile.

Change: the wait is bounded by the longest base of a pause, 4 s. MembershipTest tells 1e9 s and wants the list asked for again within 8; it fails without the bound.

--- a/src/main/java/juniperusher/membership/Watch.java
+++ b/src/main/java/juniperusher/membership/Watch.java
@@ -85,7 +85,7 @@
         if (watch != inForce || watch == 0) {
             return List.of();
         }
-        openAt = now + Math.max(told, 0) + pause();
+        openAt = now + Math.min(told, timing.most()) + pause(); // guards against a wait that never ends
         return leave();
     }
 
--- a/src/test/java/juniperusher/membership/MembershipTest.java
+++ b/src/test/java/juniperusher/membership/MembershipTest.java
@@ -91,10 +91,13 @@
                 assertFalse(watch.whole(), "changes alone cost discovery less than the list");
                 assertEquals(3, watch.index());
             }
-            one.turnedAway(watch.watch(), 7, now);
-            assertTrue(one.due() >= now + 7, "a wait that discovery tells");
-            now = one.due();
-            watch = opened(one.tick(now));
+            for (double told : new double[] {3, 1e9}) {
+                one.turnedAway(watch.watch(), told, now);
+                assertTrue(one.due() >= now + 2 + Math.min(told, 4), "a wait that discovery tells");
+                assertTrue(one.due() <= now + 4 + Math.min(told, 4), "the list is asked for again in time");
+                now = one.due();
+                watch = opened(one.tick(now));
+            }
             one.heard(watch.watch(), now);
             one.ended(watch.watch(), now);
             assertTrue(one.due() <= now + 0.5, "it has served meanwhile");
