--- a/src/main/java/juniperusher/http/Resolver.java
+++ b/src/main/java/juniperusher/http/Resolver.java
@@ -1,9 +1,7 @@
 package juniperusher.http;
 
 import com.eclipsesource.json.JsonObject;
-import java.io.ByteArrayOutputStream;
 import java.net.InetSocketAddress;
-import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -36,9 +34,12 @@
  */
 final class Resolver implements Runnable {
     private static final Logger LOG = LoggerFactory.getLogger(Resolver.class);
-    // bytes of a whole list or of a line: 20,000 endpoints or so
+    // bytes of a whole list or of a change: 20,000 endpoints or so
     private static final int MOST_LIST = 4 << 20;
     private static final long LOOK = 500; // ms after which the machine is asked, whatever it said is due
+    // ms for which a change may stand open without a further byte. A drain that was cut off is told all the
+    // same and has to be heeded within 500 ms; a change that was only slow is taken in the end.
+    private static final long CUT_OFF = 150;
     private static final long STACK = 256 * 1024; // bytes
 
     private final HttpPool pool;
@@ -47,7 +48,7 @@
     private final BiConsumer<Snapshot, TargetList> told;
     private final Membership membership;
     private final BlockingQueue<Event> events = new LinkedBlockingQueue<>();
-    private final Map<Integer, HttpPool.Exchange> open = new HashMap<>();
+    private final Map<Integer, Reader> open = new HashMap<>();
     private final long origin = System.nanoTime();
     private final Thread thread = new Thread(null, this, "membership", STACK);
     private final CountDownLatch word = new CountDownLatch(1); // until discovery has told a list here
@@ -147,14 +148,19 @@
     }
 
     private void turn() throws InterruptedException {
-        long wait = Math.max(1, Math.min(LOOK, (long) Math.ceil((membership.due() - now()) * 1000)));
+        long look = open.values().stream().anyMatch(Reader::inTheMiddle) ? CUT_OFF / 3 : LOOK;
+        long wait = Math.max(1, Math.min(look, (long) Math.ceil((membership.due() - now()) * 1000)));
         Event event = events.poll(wait, TimeUnit.MILLISECONDS);
         try {
             if (event != null) {
                 carryOut(event.tell(now()));
             }
         } finally {
-            carryOut(membership.tick(now())); // also when events never cease, or one of them failed
+            // also when events never cease, or one of them failed
+            for (Reader reader : List.copyOf(open.values())) {
+                carryOut(reader.look(now()));
+            }
+            carryOut(membership.tick(now()));
             heardAt = membership.heardAt();
         }
     }
@@ -164,9 +170,9 @@
             if (step instanceof Step.Open watch) {
                 open(watch);
             } else if (step instanceof Step.Abandon abandoned) {
-                HttpPool.Exchange exchange = open.remove(abandoned.watch());
-                if (exchange != null) {
-                    exchange.abandon(CallEnd.CALLED_OFF);
+                Reader left = open.remove(abandoned.watch());
+                if (left != null && left.exchange != null) {
+                    left.exchange.abandon(CallEnd.CALLED_OFF);
                 }
             } else if (step instanceof Step.Publish publish) {
                 publish(publish);
@@ -179,14 +185,17 @@
         LOG.atInfo().addKeyValue("watch", watch.watch()).addKeyValue("discovery", watch.address())
                 .addKeyValue("index", watch.whole() ? "none" : Long.toString(watch.index()))
                 .log(watch.whole() ? "asking for the whole list" : "opening the watch");
+        Reader answer = new Reader(watch.watch(), watch.whole());
+        open.put(watch.watch(), answer);
         try {
-            open.put(watch.watch(), pool.exchange(watch.address(),
+            answer.exchange = pool.exchange(watch.address(),
                     HttpMessage.request("GET", "/discovery/hosts"
                     + (watch.whole() ? "" : "?stream=1&index=" + watch.index()), new byte[0], "Host",
-                    "discovery"), () -> true, new Reader(watch.watch(), watch.whole())));
+                    "discovery"), () -> true, answer);
         } catch (RuntimeException | Error e) {
             // Guards against a watch in force that nobody holds: it would be due only when its silence is
             // over.
+            open.remove(watch.watch());
             membership.ended(watch.watch(), now());
             throw e;
         }
@@ -209,15 +218,25 @@
         }
     }
 
-    /** Cuts what comes on a watch into lines, on the threads of the network. */
+    /** Cuts what comes on a watch into changes, on the threads of the network. */
     private final class Reader implements HttpPool.Listener {
         private final int number;
         private final boolean whole;
-        private final ByteArrayOutputStream line = new ByteArrayOutputStream();
+        private final JsonCutter changes;
+        private HttpPool.Exchange exchange; // of the thread that owns the machine
+        private volatile long openSince; // ns of the last byte of a change that is not over, 0 for none
 
         Reader(int number, boolean whole) {
             this.number = number;
             this.whole = whole;
+            changes = whole ? null : new JsonCutter(MOST_LIST, this::tell, this::spoilt);
+        }
+
+        @Override
+        public void begun(int status) {
+            if (status == 200) {
+                events.add(now -> membership.heard(number, now)); // it is not silent, be there no news
+            }
         }
 
         @Override
@@ -225,38 +244,45 @@
             if (whole) {
                 return false;
             }
-            if (status != 200) {
-                return true;
-            }
-            events.add(now -> membership.heard(number, now));
-            for (byte b : piece) {
-                if (b != '\n') {
-                    line.write(b);
-                } else {
-                    tell(line.toString(StandardCharsets.UTF_8).strip());
-                    line.reset();
-                }
-            }
-            if (line.size() > MOST_LIST) {
-                line.reset(); // a line without end
-                events.add(now -> membership.damaged(number, now));
+            if (status == 200) {
+                events.add(now -> membership.heard(number, now));
+                changes.add(piece);
+                openSince = changes.open() ? System.nanoTime() | 1 : 0;
             }
             return true;
         }
 
-        private void tell(String text) {
-            if (text.isEmpty()) {
-                return;
+        boolean inTheMiddle() {
+            return openSince != 0;
+        }
+
+        /** Asks for the whole list where a change seems to have been cut off. */
+        List<Step> look(double now) {
+            long since = openSince;
+            if (since == 0 || System.nanoTime() - since < CUT_OFF * 1_000_000) {
+                return List.of();
             }
+            openSince = 0;
+            return spoilt("a change stands open", now);
+        }
+
+        private void spoilt(String why) {
+            events.add(now -> spoilt(why, now));
+        }
+
+        private List<Step> spoilt(String why, double now) {
+            LOG.atWarn().addKeyValue("watch", number).log("what discovery said cannot be read: {}", why);
+            counters.add("watch_damaged_total");
+            return membership.damaged(number, now);
+        }
+
+        private void tell(String text) {
             events.add(now -> {
                 Update update;
                 try {
                     update = reader.read(text);
                 } catch (IllegalArgumentException e) {
-                    LOG.atWarn().addKeyValue("watch", number).log("what discovery said cannot be read: {}",
-                            e.getMessage());
-                    counters.add("watch_damaged_total");
-                    return membership.damaged(number, now);
+                    return spoilt(e.getMessage(), now);
                 }
                 if (!update.unread().isEmpty()) {
                     LOG.atWarn().addKeyValue("watch", number).addKeyValue("ids", update.unread())
--- a/src/main/java/juniperusher/membership/Membership.java
+++ b/src/main/java/juniperusher/membership/Membership.java
@@ -9,7 +9,7 @@
 
 /**
  * The state machine of membership. One thread feeds it events, each with its time in seconds of a clock that
- * never goes back, and carries out the steps that each returns. Words on a watch that is not in force change
+ * never goes back, and carries out the steps that each returns. Words on a watch that was left change
  * nothing. Words of a further source come by {@link #word}.
  */
 public final class Membership {
@@ -59,16 +59,16 @@
 
     /** A watch has told something that could be read. */
     public List<Step> told(int number, Update update, double now) {
-        if (!watch.heard(number, now)) {
+        if (!watch.heard(number, now) || !watch.counts(number, update.version())) {
             return List.of();
         }
         heardAt = now;
         List<Step> steps = publish(roster.apply(DISCOVERY, update, at, true, now));
-        steps.addAll(watch.told(update.version(), now));
+        steps.addAll(watch.told(number, update.version(), now));
         return steps;
     }
 
-    /** A watch has told something that could not be read: the whole list is fetched anew. */
+    /** A watch has told something that could not be read: the whole list is fetched beside it. */
     public List<Step> damaged(int number, double now) {
         return watch.damaged(number, now);
     }
--- a/src/main/java/juniperusher/membership/Timing.java
+++ b/src/main/java/juniperusher/membership/Timing.java
@@ -1,22 +1,27 @@
 package juniperusher.membership;
 
 /**
- * Times of the watch, in seconds.
+ * Times of the watch, in seconds. What a silent watch misses counts as told 6 s after it fell silent, so the
+ * times from its last byte to the third try after it have to stay under that: {@code silent} and three times
+ * {@code silentFirst}.
  *
- * @param silent      without even an empty line, due every 2 s, a watch is given up
- * @param silentWhole the same for the whole list, which an agent tells at once; each time that it does not,
- *                    it is given twice as long, up to {@code silent}
- * @param again       base of the first pause before a watch is opened anew; it doubles with each failure in a
- *                    row
- * @param most        the base is never longer, so that what discovery tells is not heard too late
+ * @param silent      without even an empty line, due every 2 s, a watch is broken and asked for anew
+ * @param silentFirst the same before the first byte of an answer, whose head an agent sends at once; doubled
+ *                    each time that none comes, and never longer than {@code silent}
+ * @param again       base of the first pause before a watch that was refused or lost is opened anew; it
+ *                    doubles with each failure in a row
+ * @param most        the base is never longer where discovery refuses, so that it is heard in time
+ * @param mostLost    nor longer than this where the watch has ended, so that a return is found soon
  * @param memory      for which an endpoint that is gone is remembered; no call is out to it after that
  */
-public record Timing(double silent, double silentWhole, double again, double most, double memory) {
+public record Timing(double silent, double silentFirst, double again, double most, double mostLost,
+        double memory) {
     /** What fits the platform's agent. */
-    public static final Timing USUAL = new Timing(4.5, 1, 0.5, 4, 30);
+    public static final Timing USUAL = new Timing(2.9, 0.9, 0.5, 4, 1, 30);
 
     public Timing {
-        if (!(silent > 0 && silentWhole > 0 && again > 0 && most >= again && memory >= 0)) {
+        if (!(silent > 0 && silentFirst > 0 && again > 0 && most >= again && mostLost >= again
+                && memory >= 0)) {
             throw new IllegalArgumentException("times of the watch must be above 0");
         }
     }
--- a/src/main/java/juniperusher/net/HttpPool.java
+++ b/src/main/java/juniperusher/net/HttpPool.java
@@ -49,6 +49,10 @@
          */
         void ended(CallEnd why, int firstLine);
 
+        /** The answer has begun; its first line has this status. */
+        default void begun(int status) {
+        }
+
         /** Bytes that an answer's content may have; a longer one is spoilt. */
         default long most() {
             return MOST_ANSWER;
@@ -216,6 +220,7 @@
 
         void firstLine(int status) {
             firstLine = status;
+            listener.begun(status);
         }
 
         /** Reads an answer that has come, should the selector not have got to it yet. */
