--- a/src/main/java/juniperusher/core/Relay.java
+++ b/src/main/java/juniperusher/core/Relay.java
@@ -65,6 +65,7 @@
     private final Set<String> arriving = ConcurrentHashMap.newKeySet();
     private final AtomicInteger owed = new AtomicInteger();
     private volatile long noUnsafeAfter = Long.MAX_VALUE;
+    private volatile long noCallAfter = Long.MAX_VALUE;
     private final ScheduledThreadPoolExecutor timers = new ScheduledThreadPoolExecutor(1, task -> {
         Thread thread = new Thread(null, task, "call-timers", 128 * 1024);
         thread.setDaemon(true);
@@ -445,13 +446,17 @@
         return held.size();
     }
 
-    /** From this wall-clock time on no call starts that may not be repeated. */
-    public void noUnsafeAfter(long time) {
-        noUnsafeAfter = time;
+    /**
+     * From the first wall-clock time on no call starts that may not be repeated, from the second on none at
+     * all: what is out may end, and what is held is owed by the next process.
+     */
+    public void noCallsAfter(long unsafe, long any) {
+        noUnsafeAfter = unsafe;
+        noCallAfter = any;
     }
 
     boolean mayStart(Rpc rpc) {
-        return !unsafe(rpc.request().messageClass())
-                || System.currentTimeMillis() < noUnsafeAfter;
+        long now = System.currentTimeMillis();
+        return now < noCallAfter && (now < noUnsafeAfter || !unsafe(rpc.request().messageClass()));
     }
 }
--- a/src/main/java/juniperusher/http/Platform.java
+++ b/src/main/java/juniperusher/http/Platform.java
@@ -34,8 +34,14 @@
     private static final double IDLE_SHARE = 0.8; // of the endpoints' idle time: closed by us before
     private static final double IDLE_DESCRIPTORS = 0.15; // of all, for idle connections to endpoints
     private static final int LEAST_IDLE = 8; // whatever the limit says
-    private static final long LAST_UNSAFE = 1_200; // ms after SIGTERM: time for an answer before the end
-    private static final long SERVE = 3_200; // ms after SIGTERM; SIGKILL comes after 3.7 s
+    // ms after SIGTERM; SIGKILL comes after 3.7 s. Clients go on sending on each connection that stays open,
+    // and none can hand anything in between the end and the next start: so all is taken on up to the end, but
+    // calls begin only while there is time for their answers. One that is still out at the end would go a
+    // second time after the restart, and one that may not be repeated would be given up.
+    private static final long LAST_UNSAFE = 1_600;
+    private static final long LAST_CALL = 3_200;
+    private static final long LAST_ANSWER = 3_450; // from here on each answer ends its connection
+    private static final long END = 3_500;
     private static final long FOLLOW = 250; // ms between two looks at the maintenance file
     // ms that a process that comes back waits for discovery's first word: the list known last may be older
     // than a drain that counts as told. An agent that is there answers at once; after the drain rule's half
@@ -259,23 +265,25 @@
         LOG.info("configuration read anew; discovery is at {}", newer.discovery());
     }
 
-    /** What SIGTERM asks for: serves what still arrives, starts nothing that could not finish, then ends. */
+    /** What SIGTERM asks for: takes what still arrives, starts nothing that could not finish, then ends. */
     public void drain() throws InterruptedException, IOException {
         serving = false;
         long from = System.currentTimeMillis();
-        relay.noUnsafeAfter(from + LAST_UNSAFE);
+        relay.noCallsAfter(from + LAST_UNSAFE, from + LAST_CALL);
         if (handedOn) {
             // At an upgrade the process after this one accepts on the same socket: new clients go there, and
             // each connection here ends with its next answer. Once nothing is held or open here, this one
             // ends, and the other takes up what its journal still owes.
             stopListening();
             front.close();
-            while (System.currentTimeMillis() < from + SERVE
+            while (System.currentTimeMillis() < from + END
                     && (relay.held() > 0 || network.inbound().size() > 0)) {
                 Thread.sleep(HANDED_ON_LOOK);
             }
         } else {
-            Thread.sleep(SERVE);
+            Thread.sleep(LAST_ANSWER);
+            front.close();
+            Thread.sleep(Math.max(0, from + END - System.currentTimeMillis()));
         }
         LOG.info("ending with {} RPCs owed", relay.held());
     }
