--- /dev/null
+++ b/src/test/java/juniperusher/ownership/LeaseTest.java
@@ -0,0 +1,245 @@
+package juniperusher.ownership;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.TreeSet;
+import juniperusher.lab.fleet.OwnershipWorld;
+import juniperusher.store.Op;
+import juniperusher.store.Reply;
+import juniperusher.store.Request;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import org.junit.jupiter.api.Test;
+
+/** One owner at a time, in virtual time: the machine alone, then several with faults between them. */
+class LeaseTest {
+    private static final String SEED = "20261202";
+    private static final Terms TERMS = new Terms(5, 1, 1, 0.5, 0.5);
+
+    private static Step.Ask asked(List<Step> steps) {
+        return steps.stream().filter(Step.Ask.class::isInstance).map(Step.Ask.class::cast).findFirst()
+                .orElseThrow(() -> new AssertionError("nothing is asked by " + steps));
+    }
+
+    /** Held from 1.0 on, with a lease sent for at 0. */
+    private static Lease held() {
+        Lease lease = new Lease(TERMS, "thing", "me/1", 7);
+        Step.Ask grant = asked(lease.want(0));
+        Step.Ask claim = asked(lease.answered(grant.number(), new Reply.Leased(4, 5), 0.2));
+        assertTrue(lease.answered(claim.number(), new Reply.Done(true, 9, List.of()), 0.4)
+                .contains(new Step.Held(new Holding("thing", 9))));
+        return lease;
+    }
+
+    @Test
+    void theHolderCountsFromBeforeTheSendingLessTheMargin() {
+        Lease lease = held();
+        assertTrue(lease.holds(3.9));
+        assertFalse(lease.holds(4.0), "5 s from 0, when it was sent for, less 1");
+        assertEquals(Lease.State.HOLDING, lease.state(), "nobody has told it the time yet");
+        assertTrue(lease.tick(4.0).contains(new Step.Doubted(new Holding("thing", 9))));
+    }
+
+    @Test
+    void aLateAnswerCountsFromItsOwnSending() {
+        Lease lease = held();
+        Step.Ask first = asked(lease.tick(1.2));
+        Step.Ask second = asked(lease.tick(1.8)); // the first has had its patience
+        lease.answered(first.number(), new Reply.Leased(4, 5), 2.5);
+        assertTrue(lease.holds(5.1));
+        assertFalse(lease.holds(5.3), "1.2 and 5, less 1");
+        lease.answered(second.number(), new Reply.Leased(4, 5), 2.6);
+        assertTrue(lease.holds(5.7));
+    }
+
+    @Test
+    void inDoubtOnlyTheStoresWordBringsItBackOrEndsIt() {
+        for (boolean stands : new boolean[] {true, false}) {
+            Lease lease = held();
+            Step.Ask renewal = asked(lease.tick(4.5)); // it stood still past its own time
+            assertEquals(Lease.State.DOUBTFUL, lease.state());
+            List<Step> steps = lease.answered(renewal.number(), stands ? new Reply.Leased(4, 5)
+                    : new Reply.NoLease(4), 4.6);
+            assertEquals(stands, lease.holds(4.6));
+            assertEquals(stands, steps.contains(new Step.Held(new Holding("thing", 9))));
+            assertEquals(!stands, steps.contains(new Step.Lost(new Holding("thing", 9))));
+        }
+    }
+
+    @Test
+    void aClaimWhoseAnswerWasLostIsFoundByAskingAgain() {
+        Lease lease = new Lease(TERMS, "thing", "me/1", 7);
+        lease.answered(asked(lease.want(0)).number(), new Reply.Leased(4, 5), 0.1);
+        Step.Ask again = asked(lease.tick(0.7));
+        lease.answered(again.number(), new Reply.Done(false, 12, List.of(List.of(
+                new juniperusher.store.Entry("thing", "me/1", 9, 9, 4)))), 0.8);
+        assertEquals(new Holding("thing", 9), lease.holding(), "the token is when the key came to be");
+    }
+
+    @Test
+    void anEarlierLifesKeyIsAnothers() {
+        Lease lease = new Lease(TERMS, "thing", "me/2", 7);
+        Step.Ask claim = asked(lease.answered(asked(lease.want(0)).number(), new Reply.Leased(5, 5), 0.1));
+        lease.answered(claim.number(), new Reply.Done(false, 12, List.of(List.of(
+                new juniperusher.store.Entry("thing", "me/1", 9, 9, 4)))), 0.2);
+        assertNull(lease.holding());
+        assertTrue(lease.due() <= 0.7 && lease.due() >= 0.45, "asked again at " + lease.due());
+    }
+
+    @Test
+    void releasedNothingIsBegunAndTheStoreIsTold() {
+        Lease lease = held();
+        List<Step> steps = lease.release(1);
+        assertTrue(steps.contains(new Step.Lost(new Holding("thing", 9))));
+        assertEquals(new Request.Revoke(4), asked(steps).request());
+        assertFalse(lease.holds(1));
+        assertEquals(List.of(), lease.tick(50));
+    }
+
+    @Test
+    void aFencedTransactionComparesTheToken() {
+        juniperusher.store.StoreState store = new juniperusher.store.StoreState();
+        Request.Txn claim = new Request.Txn(List.of(), List.of(new Op.Put("thing", "me", 0)), List.of());
+        long token = ((Reply.Done) store.answer(claim, 0)).revision();
+        Request.Txn act = new Holding("thing", token).fence(new Request.Txn(List.of(), List.of(
+                new Op.Put("x", "y", 0)), List.of()));
+        assertTrue(((Reply.Done) store.answer(act, 1)).succeeded());
+        store.answer(new Request.Txn(List.of(), List.of(new Op.Delete("thing")), List.of()), 2);
+        store.answer(claim, 3);
+        assertFalse(((Reply.Done) store.answer(act, 4)).succeeded(), "it came to be anew");
+    }
+
+    @Test
+    void termsThatDoNotFitAreRefused() {
+        assertThrows(IllegalArgumentException.class, () -> new Terms(5, 1, 3, 1, 1));
+        assertThrows(IllegalArgumentException.class, () -> new Terms(5, 0, 1, 1, 1));
+    }
+
+    // ---- several processes ----
+
+    private static void play(OwnershipWorld world, int code) {
+        String node = String.valueOf((char) ('a' + code / 16 % 3));
+        switch (code % 16) {
+            case 0, 1 -> world.stop(node);
+            case 2, 3 -> world.go(node);
+            case 4 -> world.kill(node);
+            case 5 -> world.start(node);
+            case 6 -> world.cut(node, true);
+            case 7 -> world.cut(node, false);
+            case 8 -> world.deaf(node, true);
+            case 9 -> world.deaf(node, false);
+            case 10 -> world.slow(node, code / 48 % 5 * 0.4 + 0.01);
+            case 11 -> world.storeDown(code / 48 % 2 == 0);
+            default -> { } // time alone passes
+        }
+    }
+
+    /** Some 10,000 scripts of up to 40 faults, each 0.1 to 4 s apart. */
+    @Property(tries = 10_000, seed = SEED)
+    void noScriptOfFaultsMakesTwoOwners(
+            @ForAll @Size(max = 40) List<@IntRange(max = 99_999) Integer> script) {
+        OwnershipWorld world = new OwnershipWorld(TERMS, 3, script.hashCode());
+        double now = 0;
+        for (int code : script) {
+            play(world, code);
+            now += 0.1 + code / 1_000 % 40 / 10.0;
+            world.run(now);
+            assertNull(world.broken(), () -> world.broken() + "\n" + world.timeline().draw());
+        }
+        for (String node : List.of("a", "b", "c")) {
+            world.go(node);
+            world.start(node);
+            world.cut(node, false);
+            world.deaf(node, false);
+            world.slow(node, 0.01);
+        }
+        world.storeDown(false);
+        world.run(now + 3 * TERMS.ttl());
+        assertNull(world.broken(), () -> world.broken() + "\n" + world.timeline().draw());
+        assertNotEquals("", world.owner(), () -> "nobody owns it in the end\n" + world.timeline().draw());
+    }
+
+    /** Where a store ends leases early two may believe, and the token alone lets one of them act. */
+    @Property(tries = 1_000, seed = SEED)
+    void whereLeasesEndEarlyTheTokenFences(
+            @ForAll @Size(max = 30) List<@IntRange(max = 99_999) Integer> script) {
+        OwnershipWorld world = new OwnershipWorld(TERMS, 3, script.hashCode());
+        double now = 0;
+        for (int code : script) {
+            play(world, code);
+            if (code % 16 > 11) {
+                world.endEarly();
+            }
+            now += 0.1 + code / 1_000 % 40 / 10.0;
+            world.run(now);
+        }
+        assertNull(world.broken(), () -> world.broken() + "\n" + world.timeline().draw());
+    }
+
+    /** The checker sees it: clocks that run apart by more than the margin make two owners. */
+    @Test
+    void clocksFurtherApartThanTheMarginBreakIt() {
+        TreeSet<String> breaks = new TreeSet<>();
+        for (int seed = 0; seed < 50; seed++) {
+            OwnershipWorld world = new OwnershipWorld(TERMS, 3, seed, 0.6);
+            world.run(3);
+            world.cut(world.owner().isEmpty() ? "a" : world.owner(), true);
+            world.run(15);
+            breaks.add(String.valueOf(world.broken()).replaceAll(".* s: two owners.*", "two owners"));
+        }
+        assertTrue(breaks.contains("two owners"), "only " + breaks);
+    }
+
+    private static void drawn(String name, OwnershipWorld world) throws Exception {
+        assertNull(world.broken());
+        assertEquals(Files.readString(Path.of("src/test/resources/timelines", name + ".txt")),
+                world.timeline().draw());
+    }
+
+    @Test
+    void anOwnerStoppedPastItsLeaseWakesAndDoesNothing() throws Exception {
+        OwnershipWorld world = new OwnershipWorld(TERMS, 3, 1);
+        world.run(2);
+        String first = world.owner();
+        world.stop(first);
+        world.run(12);
+        assertNotEquals(first, world.owner());
+        world.go(first);
+        world.run(14);
+        drawn("stopped-owner", world);
+    }
+
+    @Test
+    void anOwnerThatIsCutOffDoubtsBeforeTheNextOwns() throws Exception {
+        OwnershipWorld world = new OwnershipWorld(TERMS, 2, 2);
+        world.run(2);
+        String first = world.owner();
+        world.cut(first, true);
+        world.run(10);
+        world.cut(first, false);
+        world.run(12);
+        drawn("cut-owner", world);
+    }
+
+    @Test
+    void aStoreThatComesBackFindsTheOwnerWithItsOldToken() throws Exception {
+        OwnershipWorld world = new OwnershipWorld(TERMS, 2, 3);
+        world.run(2);
+        world.storeDown(true);
+        world.run(20);
+        assertEquals("", world.owner(), "in doubt");
+        world.storeDown(false);
+        world.run(24);
+        drawn("store-down", world);
+    }
+}
