--- a/src/main/java/juniperusher/Control.java
+++ b/src/main/java/juniperusher/Control.java
@@ -30,6 +30,7 @@
     private static final double SHUT_AFTER = 3.0; // s of refusals only, or of a told wait: not a limit, shut
     private static final double FIRST_COOLDOWN = 0.7; // s before the first trial; it doubles, jittered, to
     private static final double COOLDOWN_CAP = 1.6; // s, as a trial is cheap, a return unnoticed is not
+    private static final double TRIAL_PART = 0.4; // of the n + 3 x root of n + 3 calls that a cold one bears
     private static final double REFUSED_COOLDOWN_CAP = 6.0; // s after a told wait: see trip
     private static final double LEAST_CAPACITY = 3.0; // calls/s, any destination bears as many once warm
     private static final double CROWD = 50.0; // senders by the cube of what a return bears, see crowd
@@ -323,8 +324,7 @@
         actions.add(new Send(item.message.id(), target.info.id(), Math.min(timeout, item.deadline - now)));
     }
 
-    /** Seconds that the connection of a new call has been idle, 0 for a new one. Guards against idle ones
-     * dropped unseen: after a failure on one, those idle half as long are closed first, for handshakes. */
+    /** Seconds a new call's connection was idle, 0 for a new one; closes those likely dropped unseen. */
     private double idle(TargetState target) {
         double idle = now - target.lastUse;
         if (idle > settings.allowed().keepAlive()) {
@@ -337,8 +337,7 @@
         return target.calls > 0 ? 0 : idle;
     }
 
-    /** Guards full connection tables against the idle ones of all senders: where a connection found no
-     * place lately, at any endpoint of the kind, and in a fleet, each is closed once nothing uses it. */
+    /** Closes what is idle where a connection found no place lately, at its kind at least, and in a fleet. */
     private void release() {
         for (TargetState target : quiet) {
             if (target.calls == 0 && (settings.senders() > FLEET
@@ -413,11 +412,8 @@
     }
 
     private boolean mayRefuse(Item item) {
-        return switch (item.kind.effect()) {
-            case SAFE -> true;
-            case KEYED -> !item.mayHaveRun || !item.kind.zoneOnly();
-            case UNSAFE -> !item.mayHaveRun;
-        };
+        return !item.mayHaveRun || item.kind.effect() == Effect.SAFE
+                || item.kind.effect() == Effect.KEYED && !item.kind.zoneOnly();
     }
 
     /** The last moment at which the item may be sent. */
@@ -689,7 +685,8 @@
         gate.trips++;
         gate.rampFrom = NEVER;
         // Guards against senders that spend a scarce limit on trials in turn, where refused calls count too.
-        double cooldown = Math.max(bearable(gate), crowd * Math.min(FIRST_COOLDOWN
+        double turns = reason.equals("shut") || gate.toldUntil > now ? crowd : 1;
+        double cooldown = Math.max(bearable(gate), turns * Math.min(FIRST_COOLDOWN
                 * Math.pow(2, gate.trips - 1), gate.toldUntil > now ? REFUSED_COOLDOWN_CAP : COOLDOWN_CAP));
         gate.openUntil = Math.max(now, gate.toldUntil) + pause(1, cooldown, NEVER);
     }
@@ -698,7 +695,10 @@
     private double bearable(Gate gate) {
         double part = Math.max(demand(gate), gate.listed / settings.senders());
         double known = Math.min(Math.max(now - gate.badSince, spare(gate) ? SHUT_AFTER : 0), 1 / part);
-        return known / (settings.rules().tipMultiple() * settings.rules().coldFrom()) * (spare(gate) ? 2 : 1);
+        double bears = settings.rules().tipMultiple() * settings.rules().coldFrom();
+        double n = bears * Math.max(part * settings.senders(), LEAST_CAPACITY) * settings.rules().tipAfter();
+        bears *= crowd > 1 ? Math.max(1, TRIAL_PART * (1 + 3 / Math.sqrt(n) + 3 / n)) : 1;
+        return known / bears * (spare(gate) ? 2 : 1);
     }
 
     /** Guards slots against many destinations hanging at once: calls off what may be repeated at one. */
