--- a/src/main/java/juniperusher/http/Notices.java
+++ b/src/main/java/juniperusher/http/Notices.java
@@ -52,6 +52,9 @@
         }
         out = true;
         List<RpcEnd> sent = new ArrayList<>(waiting.keySet()).subList(0, Math.min(MOST, waiting.size()));
+        // Guards those that have not gone yet against a platform that is slow with its 204: what goes now
+        // stands last, should it have to go again.
+        sent.forEach(end -> waiting.put(end, waiting.remove(end)));
         StringBuilder lines = new StringBuilder();
         sent.forEach(end -> lines.append(line(end)).append('\n'));
         HttpPool.Exchange exchange = pool.exchange(platform.get(), HttpMessage.request("POST", "/status",
