--- a/src/main/java/juniperusher/Control.java
+++ b/src/main/java/juniperusher/Control.java
@@ -387,7 +387,8 @@
         }
         double spread = TOLD_JITTER * crowd * Math.pow(Math.min(2, crowd), item.attempts - 1);
         item.due = now + (e.told() > 0 ? e.told() * (1 + spread * random.nextDouble())
-                : pause(item.attempts, FIRST_PAUSE * (connectionFault(call, e) ? 1 : crowd), PAUSE_CAP));
+                : pause(item.attempts, FIRST_PAUSE * (e.outcome() == Outcome.FULL && !connectionFault(call, e)
+                ? crowd : 1), PAUSE_CAP)); // guards a limit, which others spend unseen; no other outcome did
         givenUp(item);
     }
 
@@ -600,8 +601,7 @@
     private void failed(Gate gate, boolean trial, String reason) {
         noteBad(gate);
         gate.failures.note(now, 1);
-        // Guards a dead route beside sound ones, which many senders would each find anew: one failure opens
-        // it, as going another way is free. Harms capacity where one call failed by chance.
+        // Guards a dead route beside sound ones, which many senders would each find anew: one opens it.
         if (gate.open ? trial : gate.failures.share(now) > TRIP_SHARE || crowd > 1 && row(gate)
                 || spare(gate)) {
             trip(gate, reason);
