--- a/src/main/java/juniperusher/cli/SelfTest.java
+++ b/src/main/java/juniperusher/cli/SelfTest.java
@@ -20,6 +20,7 @@
 import juniperusher.core.Counters;
 import juniperusher.http.Config;
 import juniperusher.http.Platform;
+import juniperusher.http.WarmUp;
 import juniperusher.net.HttpMessage;
 import juniperusher.net.HttpPool;
 import juniperusher.net.Network;
@@ -60,6 +61,9 @@
                 if (platform.counters().get("taken_total", "front", "http", "class", "0") != 1) {
                     throw new IOException("the relay did not count what it took on");
                 }
+                if (!WarmUp.readsChanges()) {
+                    throw new IOException("a change of the list of endpoints is not read");
+                }
             }
             System.out.println("juniperusher: a relay started, answered and took an RPC on");
             return 0;
--- a/src/main/java/juniperusher/http/WarmUp.java
+++ b/src/main/java/juniperusher/http/WarmUp.java
@@ -75,6 +75,18 @@
         }
     }
 
+    /**
+     * Reads a change of the list as it would come on the watch; whether it was. A start has no time to load a
+     * parser's classes one by one, so the build records them by this.
+     */
+    public static boolean readsChanges() {
+        List<String> changes = new ArrayList<>();
+        String change = "{\n \"version\": 1}";
+        new JsonCutter(100, changes::add, changes::add).add((change + '\n').getBytes(StandardCharsets.UTF_8));
+        return changes.equals(List.of(change));
+    }
+
+
     /** Connections that end in this process's memory. */
     private static final class Memory extends Network {
         private final List<ByteArrayEndPoint> calls = new CopyOnWriteArrayList<>();
