--- a/src/main/java/juniperusher/Control.java
+++ b/src/main/java/juniperusher/Control.java
@@ -684,8 +684,8 @@
         gate.trialOut = false;
         gate.trips++;
         gate.rampFrom = NEVER;
-        // Guards against senders that spend a scarce limit on trials in turn, where refused calls count too.
-        double turns = reason.equals("shut") || gate.toldUntil > now ? crowd : 1;
+        // Guards limits and cold servers against trials in turn; where none gets through, against none.
+        double turns = reason.equals("failed connects") && gate.toldUntil <= now ? 1 : crowd;
         double cooldown = Math.max(bearable(gate), turns * Math.min(FIRST_COOLDOWN
                 * Math.pow(2, gate.trips - 1), gate.toldUntil > now ? REFUSED_COOLDOWN_CAP : COOLDOWN_CAP));
         gate.openUntil = Math.max(now, gate.toldUntil) + pause(1, cooldown, NEVER);
@@ -697,7 +697,7 @@
         double known = Math.min(Math.max(now - gate.badSince, spare(gate) ? SHUT_AFTER : 0), 1 / part);
         double bears = settings.rules().tipMultiple() * settings.rules().coldFrom();
         double n = bears * Math.max(part * settings.senders(), LEAST_CAPACITY) * settings.rules().tipAfter();
-        bears *= crowd > 1 ? Math.max(1, TRIAL_PART * (1 + 3 / Math.sqrt(n) + 3 / n)) : 1;
+        bears *= crowd > 1 ? TRIAL_PART * (1 + 3 / Math.sqrt(n) + 3 / n) : 1;
         return known / bears * (spare(gate) ? 2 : 1);
     }
 
