--- a/src/main/java/juniperusher/ownership/Lease.java
+++ b/src/main/java/juniperusher/ownership/Lease.java
@@ -144,11 +144,14 @@
         steps.add(state == State.HOLDING ? new Step.Held(holding) : new Step.Doubted(holding));
     }
 
-    /** The store tells that the thing's key has gone, or is another's: by a watch, ahead of any answer. */
+    /**
+     * The store's watch tells that the thing's key of that creation stands, or has gone: ahead of any
+     * answer, or long after it. What it says of a key before this holding's changes nothing.
+     */
     public List<Step> changed(boolean stands, long created, double time) {
         pass(time);
         List<Step> steps = new ArrayList<>();
-        if (holding != null && (stands ? created > holding.token() : true)) {
+        if (holding != null && (stands ? created > holding.token() : created == holding.token())) {
             lose(steps);
             state = State.ASKING;
             nextAt = time;
--- a/src/test/java/juniperusher/ownership/LeaseTest.java
+++ b/src/test/java/juniperusher/ownership/LeaseTest.java
@@ -96,6 +96,22 @@
         assertTrue(lease.due() <= 0.7 && lease.due() >= 0.45, "asked again at " + lease.due());
     }
 
+    @Test
+    void theStoresWatchEndsAHoldingAheadOfAnyAnswerAndTellsWhatIsFree() {
+        Lease lease = held();
+        lease.changed(true, 9, 1);
+        lease.changed(false, 8, 1);
+        assertTrue(lease.holds(1), "its own key, and one before it that went");
+        List<Step> steps = lease.changed(true, 20, 1.1);
+        assertTrue(steps.contains(new Step.Lost(new Holding("thing", 9))));
+        assertFalse(lease.holds(1.1));
+        Step.Ask claim = asked(lease.answered(asked(steps).number(), new Reply.Leased(4, 5), 1.2));
+        lease.answered(claim.number(), new Reply.Done(false, 21, List.of(List.of(
+                new juniperusher.store.Entry("thing", "other/1", 20, 20, 8)))), 1.3);
+        assertTrue(lease.due() > 1.5);
+        assertTrue(asked(lease.changed(false, 20, 1.35)).request() instanceof Request.Txn, "at once");
+    }
+
     @Test
     void releasedNothingIsBegunAndTheStoreIsTold() {
         Lease lease = held();
