Clients' connections end in order: one more look, half-close, a lingering read

From reading: HttpServerConnection closed at once on its idle time-out and when it was shed, so a request that came in that instant was reset; a connection over the bound was reset with its request unread; Platform.drain slept through fixed times and then closed all connections under whatever was on them.

Now whoever ends a connection first looks at what has come. Where a request is there it is answered, with Connection: close; one that was begun gets 503 or 408. Then the output ends, what is read after that is dropped and never handled, and the close follows the client's, or a bound. At an upgrade it ends once nothing is left, as before. Inbound drops those it shed once one in eight of its bound has not closed yet.

--- a/src/main/java/juniperusher/amqp/AmqpServerConnection.java
+++ b/src/main/java/juniperusher/amqp/AmqpServerConnection.java
@@ -63,6 +63,11 @@
         end();
     }
 
+    @Override
+    public void drop() {
+        end();
+    }
+
     /** One channel. Its fields are used by the connection's reader, but for what consumers touch. */
     final class ServerChannel {
         private final int number;
--- a/src/main/java/juniperusher/http/Platform.java
+++ b/src/main/java/juniperusher/http/Platform.java
@@ -34,20 +34,12 @@
     private static final double IDLE_SHARE = 0.8; // of the endpoints' idle time: closed by us before
     private static final double IDLE_DESCRIPTORS = 0.15; // of all, for idle connections to endpoints
     private static final int LEAST_IDLE = 8; // whatever the limit says
-    // ms after SIGTERM; SIGKILL comes after 3.7 s. Clients go on sending on each connection that stays open,
-    // and none can hand anything in between the end and the next start: so all is taken on up to the end, but
-    // calls begin only while there is time for their answers. One that is still out at the end would go a
-    // second time after the restart, and one that may not be repeated would be given up.
-    private static final long LAST_UNSAFE = 1_600;
-    private static final long LAST_CALL = 3_200;
-    private static final long LAST_ANSWER = 3_450; // from here on each answer ends its connection
-    private static final long END = 3_500;
     private static final long FOLLOW = 250; // ms between two looks at the maintenance file
     // ms that a process that comes back waits for discovery's first word: the list known last may be older
     // than a drain that counts as told. An agent that is there answers at once; after the drain rule's half
     // second a silent one is not waited for.
     private static final long FIRST_WORD = 500;
-    private static final long HANDED_ON_LOOK = 20; // ms between two looks at what is left at an upgrade
+    private static final long LOOK = 20; // ms between two looks at what is left at the end
 
     private final AtomicReference<Config> config;
     private final Network network;
@@ -56,6 +48,7 @@
     private final Resolver resolver;
     private final Peers peers;
     private final PlatformFront front;
+    private final Notices notices;
     private final Closeable listener;
     private final Counters counters;
     private final Object held = new Object(); // orders what the module is told of discovery and maintenance
@@ -106,7 +99,7 @@
                 first.diskBytes(), counters, subchannels, peers::send,
                 storms == null ? null : new StormCompanion(storms, first, counters));
         made[0] = relay;
-        Notices notices = new Notices(() -> config.get().discovery(), pool, network);
+        notices = new Notices(() -> config.get().discovery(), pool, network);
         counters.gauge("notices_waiting", notices::waiting);
         counters.gauge("connections_in", network.inbound()::size);
         counters.gauge("connections_shed", network::shed);
@@ -265,27 +258,29 @@
         LOG.info("configuration read anew; discovery is at {}", newer.discovery());
     }
 
-    /** What SIGTERM asks for: takes what still arrives, starts nothing that could not finish, then ends. */
+    /** What SIGTERM asks for, see {@link Ending}. */
     public void drain() throws InterruptedException, IOException {
         serving = false;
         long from = System.currentTimeMillis();
-        relay.noCallsAfter(from + LAST_UNSAFE, from + LAST_CALL);
-        if (handedOn) {
-            // At an upgrade the process after this one accepts on the same socket: new clients go there, and
-            // each connection here ends with its next answer. Once nothing is held or open here, this one
-            // ends, and the other takes up what its journal still owes.
-            stopListening();
-            front.close();
-            while (System.currentTimeMillis() < from + END
-                    && (relay.held() > 0 || network.inbound().size() > 0)) {
-                Thread.sleep(HANDED_ON_LOOK);
+        relay.noCallsAfter(from + Ending.LAST_UNSAFE, from + Ending.LAST_CALL);
+        Ending ending = new Ending(handedOn);
+        while (true) {
+            List<Ending.Step> steps = ending.at(System.currentTimeMillis() - from, network.inbound().size(),
+                    relay.held(), notices.waiting());
+            for (Ending.Step step : steps) {
+                switch (step) {
+                    case LAST_ANSWERS -> front.close();
+                    case STOP_LISTENING -> stopListening();
+                    case END_RESTING -> network.inbound().endAll(true);
+                    case END_ALL -> network.inbound().endAll(false);
+                    default -> {
+                        LOG.info("ending with {} RPCs owed", relay.held());
+                        return;
+                    }
+                }
             }
-        } else {
-            Thread.sleep(LAST_ANSWER);
-            front.close();
-            Thread.sleep(Math.max(0, from + END - System.currentTimeMillis()));
+            Thread.sleep(LOOK);
         }
-        LOG.info("ending with {} RPCs owed", relay.held());
     }
 
     private synchronized void stopListening() throws IOException {
--- a/src/main/java/juniperusher/net/HttpServerConnection.java
+++ b/src/main/java/juniperusher/net/HttpServerConnection.java
@@ -12,6 +12,7 @@
 import org.eclipse.jetty.http.HttpParser;
 import org.eclipse.jetty.http.HttpVersion;
 import org.eclipse.jetty.io.AbstractConnection;
+import org.eclipse.jetty.io.AbstractEndPoint;
 import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.util.BufferUtil;
 import org.eclipse.jetty.util.Callback;
@@ -21,6 +22,10 @@
  * Guards against clients that send what cannot be read, too much, too slowly or nothing: what is read and
  * held is bounded, and so is the time. A refusal is written before the input has ended, and the rest of the
  * input is read and dropped, since a close with input unread would reset the refusal away.
+ *
+ * <p>However it ends, it looks for a request that came in that very instant first, then ends its output, and
+ * closes after a lingering read. What is read after the end of the output is dropped: nobody could be
+ * answered for it, and its client sends it once more elsewhere.
  */
 public final class HttpServerConnection extends AbstractConnection implements HttpParser.RequestHandler,
         Inbound.Guest {
@@ -30,7 +35,10 @@
     // would else use up those that they may hold, and the others would find none.
     private static final long IDLE = 2_000;
     private static final long REQUEST = 2_500_000_000L; // ns from a request's first byte to its last
-    private static final long LINGER = 3_000_000_000L; // ns for which the rest is dropped after a refusal
+    private static final long LINGER = 3_000_000_000L; // ns for which the rest is dropped after the output
+    // ms without a byte after which one that was ended for want of room is closed, its client's end or not
+    private static final long SHED_IDLE = 250;
+    private static final Throwable ENDED = new IOException("ended, as its place or its process is going");
     private static final int TURNS = 16; // reads of dropped input before the others have their turn
     private static final long DROPPED = 256L << 20; // bytes dropped after a refusal, at most
     // Where dropped bytes go: shared, since nobody reads them.
@@ -49,7 +57,8 @@
     private HttpMessage refusal;
     private long began;
     private int turns;
-    private long dropping; // bytes dropped plus one, 0 before the refusal
+    private long dropping; // bytes dropped plus one, 0 before the end of the output
+    private volatile boolean ending; // with its next answer, or at once where none is owed
     private volatile Inbound.Standing standing = Inbound.Standing.MUTE;
     private volatile long since = System.nanoTime();
 
@@ -90,8 +99,18 @@
         super.onOpen();
         getEndPoint().setIdleTimeout(IDLE);
         inbound.add(this);
-        if (getEndPoint().isOpen()) {
-            fillInterested();
+        if (ending) {
+            end(503); // there is no room for it, and its request may be here already
+        } else if (getEndPoint().isOpen()) {
+            await();
+        }
+    }
+
+    /** Waits for its next byte. Guards an end that came just before against waiting for it as well. */
+    private void await() {
+        fillInterested();
+        if (ending && dropping == 0) {
+            shed();
         }
     }
 
@@ -117,8 +136,20 @@
         return since;
     }
 
+    /**
+     * Ends it as soon as nothing is owed. Whoever takes the interest in its next byte away owns it: either
+     * this call, which looks once more, or a read that is under way, which ends with its answer.
+     */
     @Override
     public void shed() {
+        ending = true;
+        if (getEndPoint() instanceof AbstractEndPoint at) {
+            at.getFillInterest().onFail(ENDED);
+        }
+    }
+
+    @Override
+    public void drop() {
         close();
     }
 
@@ -129,17 +160,41 @@
 
     @Override
     protected void onFillInterestedFailed(Throwable cause) {
-        if (standing == Inbound.Standing.UNFINISHED && dropping == 0) {
-            if (refuse(HttpMessage.response(408, ""))) {
+        if (getEndPoint().isOpen()) {
+            read(cause == ENDED ? 503 : 408);
+        }
+    }
+
+    /** Nothing more has come: ends the output, after a refusal where a request was begun, and lingers. */
+    private void end(int status) {
+        if (dropping > 0) {
+            close(); // it has had its time
+        } else if (status == 503 && standing == Inbound.Standing.MUTE
+                || standing == Inbound.Standing.UNFINISHED) {
+            if (refuse(HttpMessage.response(status, ""))) {
                 onFillable();
             }
         } else {
-            close(); // idle, or the refusal has had its time
+            linger(ending ? SHED_IDLE : IDLE);
+            fillInterested();
         }
     }
 
+    private void linger(long idle) {
+        getEndPoint().shutdownOutput();
+        dropping = 1;
+        began = System.nanoTime();
+        now(Inbound.Standing.MUTE);
+        getEndPoint().setIdleTimeout(idle);
+    }
+
     @Override
     public void onFillable() {
+        read(0);
+    }
+
+    /** Reads what there is; where nothing is left and {@code otherwise} is a status, ends with it. */
+    private void read(int otherwise) {
         try {
             while (true) {
                 if (dropping > 0 || !in.hasRemaining()) {
@@ -153,8 +208,12 @@
                         close();
                         return;
                     }
+                    if (n == 0 && otherwise > 0) {
+                        end(otherwise);
+                        return;
+                    }
                     if (n == 0) {
-                        fillInterested();
+                        await();
                         return;
                     }
                     if (dropping > 0) {
@@ -170,6 +229,7 @@
                         continue;
                     }
                 }
+                otherwise = ending ? otherwise : 0; // it was not idle after all
                 if (standing != Inbound.Standing.UNFINISHED) {
                     began = System.nanoTime();
                     now(Inbound.Standing.UNFINISHED);
@@ -220,16 +280,12 @@
     }
 
     private void respond(HttpMessage response, AtomicBoolean turn) {
-        boolean last = close || handler.closing() || inbound.crowded();
+        boolean last = close || ending || handler.closing() || inbound.crowded();
         HttpMessage sent = last ? new HttpMessage(response.start(), HttpFields.build(response.fields())
                 .put(HttpHeader.CONNECTION, HttpHeaderValue.CLOSE.asString()), response.body()) : response;
         getEndPoint().write(Callback.from(() -> {
             if (last) {
-                getEndPoint().shutdownOutput();
-                dropping = 1;
-                began = System.nanoTime();
-                now(Inbound.Standing.MUTE);
-                getEndPoint().setIdleTimeout(IDLE);
+                linger(IDLE);
             } else {
                 parser.reset();
                 now(Inbound.Standing.IDLE);
--- a/src/main/java/juniperusher/net/Inbound.java
+++ b/src/main/java/juniperusher/net/Inbound.java
@@ -1,6 +1,7 @@
 package juniperusher.net;
 
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Set;
 
 /**
@@ -13,11 +14,13 @@
     private static final long ENDS = 1_000_000_000L; // ns after which a request begun is taken to hang
     private static final double CROWDED = 0.45; // of the bound: well below the share that clients hold
     private static final int SERVED = 5;
+    private static final int LEAVING = 8; // one in so many of the bound may be shed and not closed yet
 
     private final int most;
     private final Runnable shedOne;
     private final boolean oldestFirst;
     private final Set<Guest> guests = new LinkedHashSet<>();
+    private final Set<Guest> leaving = new LinkedHashSet<>(); // shed, but not closed yet
 
     /** What a connection is doing. */
     public enum Standing { MUTE, IDLE, UNFINISHED, SERVED }
@@ -30,8 +33,11 @@
         /** Since when, by {@link System#nanoTime}. */
         long since();
 
-        /** Closes it. */
+        /** Ends it as soon as nothing is owed to its client; what comes in that instant is seen to first. */
         void shed();
+
+        /** Closes it at once, as its descriptor is needed. */
+        void drop();
     }
 
     /**
@@ -57,10 +63,14 @@
     /** A connection came in; at the bound the least of the others is closed, or this one if all serve. */
     public void add(Guest guest) {
         Guest out = null;
+        Guest tooMany = null;
         synchronized (guests) {
             if (guests.size() >= most) {
                 out = least(guest);
                 guests.remove(out);
+                leaving.add(out);
+                tooMany = leaving.size() > Math.max(1, most / LEAVING) ? leaving.iterator().next() : null;
+                leaving.remove(tooMany);
             }
             if (out != guest) {
                 guests.add(guest);
@@ -70,6 +80,23 @@
             shedOne.run();
             out.shed();
         }
+        if (tooMany != null) {
+            tooMany.drop(); // Guards descriptors against clients that never close what was ended
+        }
+    }
+
+    /**
+     * Ends all, or with {@code resting} those alone on which nothing seems to be under way: one that has just
+     * come may still say what it came for. None is closed with something owed on it.
+     */
+    public void endAll(boolean resting) {
+        List<Guest> out;
+        long now = System.nanoTime();
+        synchronized (guests) {
+            out = guests.stream().filter(guest -> !resting || guest.standing() == Standing.IDLE
+                    || guest.standing() == Standing.MUTE && now - guest.since() > SPEAKS).toList();
+        }
+        out.forEach(Guest::shed);
     }
 
     private Guest least(Guest newcomer) {
@@ -112,6 +139,7 @@
     public void remove(Guest guest) {
         synchronized (guests) {
             guests.remove(guest);
+            leaving.remove(guest);
         }
     }
 
--- a/src/test/java/juniperusher/net/InboundTest.java
+++ b/src/test/java/juniperusher/net/InboundTest.java
@@ -12,10 +12,12 @@
 /** Who goes when too many connections have come in. */
 public class InboundTest {
     private final List<String> gone = new ArrayList<>();
+    private final List<String> dropped = new ArrayList<>();
 
     @BeforeMethod
     public void nobodyHasGone() {
         gone.clear();
+        dropped.clear();
     }
 
     private Inbound.Guest guest(String name, Standing standing, long agoMillis) {
@@ -35,6 +37,11 @@
             public void shed() {
                 gone.add(name);
             }
+
+            @Override
+            public void drop() {
+                dropped.add(name);
+            }
         };
     }
 
@@ -54,6 +61,24 @@
         }
         assertEquals(gone, List.of("mute", "longer idle", "idle", "hangs", "just come", "new 5"));
         assertEquals(inbound.size(), 6);
+        // Those that were shed and have not closed yet are dropped, the earliest first, once they are many.
+        assertEquals(dropped, List.of("mute", "longer idle", "idle", "hangs", "just come"));
+    }
+
+    @Test
+    public void atTheEndThoseThatRestEndAndOneThatHasJustComeMaySayWhatItCameFor() {
+        Inbound inbound = new Inbound(6, () -> { });
+        inbound.add(guest("served", Standing.SERVED, 60_000));
+        inbound.add(guest("just come", Standing.MUTE, 1));
+        inbound.add(guest("idle", Standing.IDLE, 1));
+        inbound.add(guest("mute", Standing.MUTE, 400));
+        inbound.add(guest("half a call", Standing.UNFINISHED, 1));
+        inbound.endAll(true);
+        assertEquals(gone, List.of("idle", "mute"));
+        gone.clear();
+        inbound.endAll(false);
+        assertEquals(gone, List.of("served", "just come", "idle", "mute", "half a call"));
+        assertEquals(dropped, List.of());
     }
 
     @Test
