A call is given up in one step, and an answer that is whole counts whatever follows

HttpPool.Exchange.abandon read under its lock whether the request was on a connection, and settled the end under a second one. A connection that came up in between carried the request out: the end was told, and the call stayed out on an open connection, so that the next attempt was a second copy. Both are settled in one step now.

HttpClientConnection.finished asked the connection for more bytes once it had forgotten the exchange; a reset right behind a whole answer threw there, and the answer was lost until the time-out. EarlyAnswerTest.

--- a/src/main/java/juniperusher/net/HttpClientConnection.java
+++ b/src/main/java/juniperusher/net/HttpClientConnection.java
@@ -213,7 +213,7 @@
         parser.reset();
     }
 
-    private Runnable finished(boolean called) throws IOException {
+    private Runnable finished(boolean called) {
         HttpPool.Exchange done = exchange;
         HttpMessage response = new HttpMessage(Integer.toString(status), fields.asImmutable(),
                 body.toByteArray());
@@ -224,7 +224,7 @@
         exchange = null;
         interim = 0;
         reset();
-        boolean reuse = keep && !in.hasRemaining() && getEndPoint().isOpen() && getEndPoint().fill(in) == 0;
+        boolean reuse = keep && quiet();
         if (reuse && called) {
             fillInterested();
         }
--- a/src/main/java/juniperusher/net/HttpPool.java
+++ b/src/main/java/juniperusher/net/HttpPool.java
@@ -271,16 +271,25 @@
             listener.ended(why.given(written), firstLine);
         }
 
-        /** Stops waiting: closes the connection if the request is on it, then reports the end. */
+        /**
+         * Stops waiting: closes the connection if the request is on it, then reports the end. Guards against
+         * a request that leaves on a connection that comes up in this very instant, and stays out there.
+         */
         public void abandon(CallEnd why) {
             HttpClientConnection out;
+            boolean written;
             synchronized (this) {
-                out = over ? null : connection;
+                if (over) {
+                    return;
+                }
+                over = true;
+                written = mayBeWhole;
+                out = connection;
             }
             if (out != null) {
                 out.close();
             }
-            ended(why);
+            listener.ended(why.given(written), firstLine);
         }
     }
 }
--- a/src/test/java/juniperusher/net/EarlyAnswerTest.java
+++ b/src/test/java/juniperusher/net/EarlyAnswerTest.java
@@ -28,9 +28,12 @@
     /** A network whose other side has answered before a write returns. */
     private static final class Hasty extends Network {
         private final List<ByteArrayEndPoint> opened = new CopyOnWriteArrayList<>();
+        private final boolean resets;
 
-        Hasty() throws Exception {
+        /** {@code resets}: a reset comes right behind each answer. */
+        Hasty(boolean resets) throws Exception {
             super(1);
+            this.resets = resets;
         }
 
         @Override
@@ -45,6 +48,15 @@
                     return all;
                 }
 
+                @Override
+                public int fill(ByteBuffer buffer) throws IOException {
+                    int read = super.fill(buffer);
+                    if (read == 0 && resets && !opened.isEmpty()) {
+                        throw new IOException("Connection reset by peer");
+                    }
+                    return read;
+                }
+
                 @Override
                 protected void execute(Runnable task) {
                     task.run(); // the answer is read at once
@@ -61,7 +73,7 @@
 
     @Test
     public void theNextRequestWaitsForTheEndOfTheWriteBefore() throws Exception {
-        try (Hasty network = new Hasty()) {
+        try (Hasty network = new Hasty(false)) {
             HttpPool pool = new HttpPool(network, 10, 8);
             List<String> ends = new ArrayList<>();
             CountDownLatch over = new CountDownLatch(1);
@@ -78,6 +90,16 @@
         }
     }
 
+    @Test
+    public void anAnswerThatIsWholeCountsWhateverComesBehindIt() throws Exception {
+        try (Hasty network = new Hasty(true)) {
+            List<String> ends = new ArrayList<>();
+            next(new HttpPool(network, 10, 8), ends, new CountDownLatch(1));
+            assertEquals(ends, java.util.Collections.nCopies(EXCHANGES, "204"));
+            assertEquals(network.opened.size(), EXCHANGES, "what was reset is not used again");
+        }
+    }
+
     private static void next(HttpPool pool, List<String> ends, CountDownLatch over) {
         pool.exchange(AT, HttpMessage.request("GET", "/discovery/hosts", new byte[0], "Host", "a"),
                 () -> true,
