The AMQP front's class has to be named; no class of one deployment is assumed

AmqpConfig and the schema fell back to ordem-build, a class of one customer, for messages that name none in their type, and lab load to aviso-push. Both have to be named: one line, exit code 2. settings show prints a placeholder that can be read. A mistake in a table no longer prints the table, which may hold a password. Searched besides: src/main and deploy/balancer.toml hold no other name of a deployment outside the laboratory's own settings.

--- a/src/main/java/juniperusher/amqp/AmqpConfig.java
+++ b/src/main/java/juniperusher/amqp/AmqpConfig.java
@@ -60,9 +60,14 @@
                     broker.getString("exchange", ""), broker.getString("routing_key", ""),
                     broker.getDouble("weight", 10)));
         }
+        String messageClass = json.getString("class", "");
+        if (messageClass.isEmpty()) {
+            throw new IllegalArgumentException("class is missing: expected the class of the messages that "
+                    + "name none in their type");
+        }
         String listen = json.getString("listen", "");
         return new AmqpConfig(listen.isEmpty() ? null : address(listen), json.getString("user", "guest"),
-                json.getString("password", "guest"), json.getString("class", "ordem-build"), brokers);
+                json.getString("password", "guest"), messageClass, brokers);
     }
 
     private static InetSocketAddress address(String text) {
--- a/src/main/java/juniperusher/cli/LabSockets.java
+++ b/src/main/java/juniperusher/cli/LabSockets.java
@@ -33,8 +33,8 @@
         @Parameter(names = "--seconds", description = "for so long, 600 at most")
         private double seconds = 10;
 
-        @Parameter(names = "--class", description = "their class")
-        private String messageClass = "aviso-push";
+        @Parameter(names = "--class", description = "their class", required = true)
+        private String messageClass;
 
         @Parameter(names = "--dest", description = "their destination's number")
         private int destination;
--- a/src/main/java/juniperusher/settings/CheckedToml.java
+++ b/src/main/java/juniperusher/settings/CheckedToml.java
@@ -150,7 +150,7 @@
         }
         JsonValue value = value(json, path);
         String text = value.toString();
-        return key + (text.length() > 60 ? "" : " = " + text) + ": "
+        return key + (text.length() > 60 || value.isObject() ? "" : " = " + text) + ": "
                 + error.getMessage().replaceFirst("^/\\S* ", "");
     }
 
--- a/src/main/java/juniperusher/settings/OperatorSettings.java
+++ b/src/main/java/juniperusher/settings/OperatorSettings.java
@@ -73,7 +73,8 @@
                         .append(inner.getString("description", "")).append('\n');
                 keys(inner.get("items").asObject(), "# ", out);
             } else {
-                JsonValue value = inner.get("default");
+                JsonValue value = inner.get("default") != null || inner.get("examples") == null
+                        ? inner.get("default") : inner.get("examples").asArray().get(0);
                 out.append(before).append(key.getName()).append(" = ")
                         .append(value == null ? "(no default)" : value.toString())
                         .append(" # ").append(inner.getString("description", "")).append('\n');
