Cold servers under the sum of 20 and 30 processes: budget and 2 x root of N + 2

Trials had 0.4 of N + 3 x root of N + 3, and slow starts all of N beside them. Trials have 0.3 of N + 2 x root of N + 2 now, and slow starts of fleets leave half of that part.

--- a/src/main/java/juniperusher/Control.java
+++ b/src/main/java/juniperusher/Control.java
@@ -30,7 +30,7 @@
     private static final double SHUT_AFTER = 3.0; // s of refusals only, or of a told wait: not a limit, shut
     private static final double FIRST_COOLDOWN = 0.7; // s before the first trial; it doubles, jittered, to
     private static final double COOLDOWN_CAP = 1.6; // s, as a trial is cheap, a return unnoticed is not
-    private static final double TRIAL_PART = 0.4; // of the n + 3 x root of n + 3 calls that a cold one bears
+    private static final double TRIAL_PART = 0.3; // of the n + 2 x root of n + 2 calls that a cold one bears
     private static final double REFUSED_COOLDOWN_CAP = 6.0; // s after a told wait: see trip
     private static final double LEAST_CAPACITY = 3.0; // calls/s, any destination bears as many once warm
     private static final double CROWD = 50.0; // senders by the cube of what a return bears, see crowd
@@ -697,7 +697,7 @@
         double known = Math.min(Math.max(now - gate.badSince, spare(gate) ? SHUT_AFTER : 0), 1 / part);
         double bears = settings.rules().tipMultiple() * settings.rules().coldFrom();
         double n = bears * Math.max(part * settings.senders(), LEAST_CAPACITY) * settings.rules().tipAfter();
-        bears *= crowd > 1 ? TRIAL_PART * (1 + 3 / Math.sqrt(n) + 3 / n) : 1;
+        bears *= crowd > 1 ? TRIAL_PART * (1 + 2 / Math.sqrt(n) + 2 / n) : 1;
         return known / bears * (spare(gate) ? 2 : 1);
     }
 
@@ -772,7 +772,8 @@
         double present = settings.rules().coldFrom() + (1 - settings.rules().coldFrom()) * part;
         double own = crowd > 1 && tight ? demand(gate) : gate.best;
         double capacity = Math.max(own, Math.max(gate.listed, LEAST_CAPACITY) / settings.senders());
-        return settings.rules().tipMultiple() * present * capacity * gate.rampCut;
+        double trying = crowd > 1 && tight ? 1 - TRIAL_PART / 2 : 1; // guards the sum: others still try
+        return settings.rules().tipMultiple() * present * capacity * gate.rampCut * trying;
     }
 
     private double rampReadyAt(Gate gate) {
--- a/src/main/java/juniperusher/lab/DestinationModel.java
+++ b/src/main/java/juniperusher/lab/DestinationModel.java
@@ -42,6 +42,7 @@
     private double tokens;
     private double tokensAt;
     private double above;
+    private double overBudget;
     private int refused;
     private int fell;
 
@@ -112,7 +113,10 @@
         double takes = (capacity(last, from) + capacity) / 2 * (now - from) + Math.max(SLACK,
                 DEPTH * capacity);
         above = Math.max(above, window.size() - takes);
-        return window.size() > last.tip() * capacity * WINDOW + SLACK;
+        double budget = last.tip() * capacity * WINDOW;
+        double over = window.size() - budget - 2 * Math.sqrt(budget) - 2;
+        overBudget = Math.max(overBudget, over);
+        return over > 0;
     }
 
     private double byRate(double now, double service) {
@@ -165,6 +169,7 @@
         return switch (kind) {
             case SHUT -> new Answer(Outcome.FULL, FAST, plan.toldWait());
             case FAST_ERRORS -> new Answer(Outcome.ERROR, FAST, 0);
+            case DOWN -> new Answer(Outcome.NOT_CONNECTED, FAST, 0);
             default -> new Answer(Outcome.TIMED_OUT, Double.POSITIVE_INFINITY, 0);
         };
     }
@@ -187,4 +192,12 @@
     public double above() {
         return above;
     }
+
+    /**
+     * The most calls that it got beyond the budget of a cold one, N, and 2 x root of N + 2 for chance, over
+     * any window of a return; 0 if it never got more.
+     */
+    public double overBudget() {
+        return overBudget;
+    }
 }
--- a/src/main/java/juniperusher/lab/Plan.java
+++ b/src/main/java/juniperusher/lab/Plan.java
@@ -61,8 +61,8 @@
     /** How answer times are spread round their mean. */
     public enum Spread { EXPONENTIAL, LOGNORMAL, CONSTANT }
 
-    /** How a destination is out. */
-    public enum Kind { SHUT, FAST_ERRORS, HANG, SLOW }
+    /** How a destination is out; {@code DOWN}: connections are refused. */
+    public enum Kind { SHUT, FAST_ERRORS, HANG, SLOW, DOWN }
 
     /** A trouble and the return from it. */
     public record Trouble(Kind kind, double from, double until, double cold, double warm, double tip,
--- a/src/main/java/juniperusher/lab/Run.java
+++ b/src/main/java/juniperusher/lab/Run.java
@@ -13,7 +13,9 @@
  *                    p99_sound},
  *                    {@code p99_struck} (s from asking to delivery), {@code above} (calls beyond what a
  *                    destination
- *                    takes, in the worst 1.5 s of a return), {@code refused_calls} (by destinations above
+ *                    takes, in the worst 1.5 s of a return), {@code over_budget} (the same, beyond what
+ *                    topples
+ *                    a cold one and chance), {@code refused_calls} (by destinations above
  *                    their
  *                    limit), {@code fell}, {@code turned_away} (messages refused by relays or handed back),
  *                    {@code recovered_after} (s from the last return until 95% of a struck destination's
--- a/src/main/java/juniperusher/lab/Tally.java
+++ b/src/main/java/juniperusher/lab/Tally.java
@@ -101,6 +101,7 @@
         figures.put("p99_sound", latency.get("sound").getValueAtPercentile(99) / MICRO);
         figures.put("p99_struck", latency.get("struck").getValueAtPercentile(99) / MICRO);
         figures.put("above", models.stream().mapToDouble(DestinationModel::above).max().orElse(0));
+        figures.put("over_budget", models.stream().mapToDouble(DestinationModel::overBudget).max().orElse(0));
         figures.put("refused_calls", (double) models.stream().mapToInt(DestinationModel::refused).sum());
         figures.put("fell", (double) models.stream().mapToInt(DestinationModel::fell).sum());
         figures.put("turned_away", (double) turnedAway);
