Connections to endpoints end in order: output first, a lingering read, then the close

A close over bytes that nobody has read (half a line that comes in that instant) resets the connection, and the endpoint cannot know what of its answer was read. They retire now: the output ends, what still comes is dropped, and the close follows the endpoint's, a second without a byte, or 1 MiB. IdleEndTest holds the selector's thread and sees the reset without the mend.

--- a/src/main/java/juniperusher/net/HttpClientConnection.java
+++ b/src/main/java/juniperusher/net/HttpClientConnection.java
@@ -29,6 +29,10 @@
     private static final int MOST_HEAD = 16 * 1024; // bytes
     private static final int MOST_INTERIM = 16; // 1xx answers in front of the final one
     private static final long ANSWER = 500; // ms from an answer's first byte to its last
+    private static final long LINGER = 1_000; // ms without a byte for which one that has ended is read on
+    private static final int DROPPED = 1 << 20; // bytes of it that are read and dropped at most
+    // Where they go: shared, since nobody reads them.
+    private static final ByteBuffer DROP = ByteBuffer.allocateDirect(16 * 1024);
 
     private final Network network;
     private final HttpPool pool;
@@ -44,6 +48,8 @@
     private boolean keep = true;
     private volatile HttpPool.Exchange exchange;
     private volatile boolean closed;
+    private volatile boolean lingering; // its output has ended, what still comes is dropped
+    private int dropped;
     private volatile long idleSince;
     private Scheduler.Task overdue;
     private boolean writing; // the request's write has not said how it ended
@@ -136,9 +142,57 @@
         return !closed && getEndPoint().isOpen();
     }
 
+    /**
+     * Ends it with nothing out on it: the output first, then, once the other side has ended too or after a
+     * bound, the connection. Guards the answer before: a close over bytes that nobody has read, half a line
+     * that comes in this very instant, resets the connection, and the other side cannot know what of its
+     * answer was read.
+     */
+    void retire() {
+        synchronized (this) {
+            if (closed) {
+                return;
+            }
+            closed = true;
+            lingering = true;
+        }
+        pool.gone(this);
+        linger();
+    }
+
+    private void linger() {
+        getEndPoint().setIdleTimeout(LINGER);
+        getEndPoint().shutdownOutput();
+    }
+
     @Override
     public void onFillable() {
-        read(true);
+        if (lingering) {
+            drop();
+        } else {
+            read(true);
+        }
+    }
+
+    private void drop() {
+        try {
+            while (true) {
+                ByteBuffer into = DROP.duplicate();
+                BufferUtil.clear(into);
+                int n = getEndPoint().fill(into);
+                dropped += Math.max(0, n);
+                if (n < 0 || dropped > DROPPED) {
+                    close();
+                    return;
+                }
+                if (n == 0) {
+                    fillInterested();
+                    return;
+                }
+            }
+        } catch (IOException | RuntimeException e) {
+            close();
+        }
     }
 
     /** Reads what has come though the selector has not got to it; its interest stays as it is. */
@@ -177,7 +231,13 @@
                     }
                 }
                 if (exchange == null) {
-                    return () -> lost(CallEnd.BROKEN); // bytes that answer nothing
+                    closed = true; // bytes that answer nothing
+                    lingering = true;
+                    return () -> {
+                        pool.gone(this);
+                        linger();
+                        drop();
+                    };
                 }
                 int before = in.remaining();
                 boolean stopped = parser.parseNext(in) || in.remaining() == before;
@@ -189,7 +249,7 @@
                     return () -> lost(CallEnd.SPOILT);
                 }
             }
-            return null;
+            return lingering ? this::drop : null;
         } catch (IOException | RuntimeException e) {
             return () -> lost(CallEnd.BROKEN);
         }
@@ -230,7 +290,11 @@
         }
         if (!reuse) {
             closed = true;
-            close();
+            lingering = true;
+            linger();
+            if (called) {
+                fillInterested();
+            }
         }
         boolean later = reuse && writing;
         if (later) {
--- a/src/main/java/juniperusher/net/HttpPool.java
+++ b/src/main/java/juniperusher/net/HttpPool.java
@@ -79,7 +79,7 @@
         Exchange exchange = new Exchange(new Peer(address, owner), request.bytes(), mayStart, listener);
         HttpClientConnection kept = take(exchange.peer);
         while (kept != null && !kept.quiet()) {
-            kept.close();
+            kept.retire();
             kept = take(exchange.peer);
         }
         if (kept != null) {
@@ -101,7 +101,7 @@
                 if (connection.usable() && System.nanoTime() - connection.idleSince() < idleNanos) {
                     return connection;
                 }
-                connection.close();
+                connection.retire();
             }
             return null;
         }
@@ -117,7 +117,7 @@
             }
         }
         if (out != null) {
-            out.close();
+            out.retire();
         }
     }
 
@@ -152,7 +152,7 @@
             idleCount -= kept == null ? 0 : kept.size();
         }
         if (kept != null) {
-            kept.forEach(HttpClientConnection::close);
+            kept.forEach(HttpClientConnection::retire);
         }
     }
 
@@ -165,7 +165,7 @@
             idleCount -= old.size();
             idle.values().removeIf(Deque::isEmpty);
         }
-        old.forEach(HttpClientConnection::close);
+        old.forEach(HttpClientConnection::retire);
         network.scheduler().schedule(this::sweep, 200, TimeUnit.MILLISECONDS);
     }
 
