--- a/src/main/java/juniperusher/core/Rpc.java
+++ b/src/main/java/juniperusher/core/Rpc.java
@@ -33,7 +33,7 @@
         this.relay = relay;
     }
 
-    /** The same, as an earlier process left it; {@code left.request()} may name another place of its class. */
+    /** The same, as an earlier process left it; {@code request} names the place that its class has now. */
     Rpc(Journal.Owed left, RpcRequest request, MessageClass kind, Relay relay) {
         this(left.number(), request, kind, relay);
         attempts = left.attempts();
--- a/src/main/java/juniperusher/http/PlatformFront.java
+++ b/src/main/java/juniperusher/http/PlatformFront.java
@@ -21,7 +21,7 @@
  * The platform's front: channels hand RPCs in over HTTP/1.1, ends that are not deliveries go out as notices.
  */
 final class PlatformFront implements Front, HttpServerConnection.Handler {
-    /** The key by which an endpoint knows repeats of a message, as draft-ietf-httpapi-idempotency-key has it. */
+    /** By which an endpoint knows repeats, see draft-ietf-httpapi-idempotency-key. */
     static final String IDEMPOTENCY_KEY = "Idempotency-Key";
     private static final Pattern PATH = Pattern.compile("(?:https?://[^/]*)?/([^/?]*)");
     private static final Pattern PARTS = Pattern.compile("[,;]");
--- a/src/main/java/juniperusher/membership/Timing.java
+++ b/src/main/java/juniperusher/membership/Timing.java
@@ -14,7 +14,7 @@
  *                    doubles with each failure in a row
  * @param most        the pause is never longer where discovery refuses, the wait that it tells included, or
  *                    tells what cannot be read
- * @param mostLost    the base is never longer than this where the watch has ended, so that a return is found soon
+ * @param mostLost    the base is never longer where the watch has ended, so that a return is found soon
  * @param memory      for which an endpoint that is gone is remembered; no call is out to it after that
  */
 public record Timing(double silent, double silentFirst, double again, double most, double mostLost,
--- a/src/test/java/juniperusher/http/CrowdWhileDiscoveryIsDownTest.java
+++ b/src/test/java/juniperusher/http/CrowdWhileDiscoveryIsDownTest.java
@@ -23,8 +23,8 @@
     private static final int DESCRIPTORS = 64;
     private static final int BOUND = 28; // of them, for what comes in
     private static final String LIST = "{\"version\":1,\"full\":true,\"servers\":[{\"id\":\"e-1\",\"addr\":"
-            + "\"127.0.0.1:%d\",\"zone\":\"lisboa-1\",\"kind\":\"pequeno-projeto\",\"cell\":7,\"state\":\"up\","
-            + "\"weight\":1.0,\"started_ms\":0}]}";
+            + "\"127.0.0.1:%d\",\"zone\":\"lisboa-1\",\"kind\":\"pequeno-projeto\",\"cell\":7,"
+            + "\"state\":\"up\",\"weight\":1.0,\"started_ms\":0}]}";
 
     @Test
     public void theListIsHeardInTimeAndWhoHasSomethingToSayIsServed() throws Exception {
@@ -58,9 +58,9 @@
                         + "Host: discovery\\r\\n\\r\\n\n"));
                 assertTrue(network.inbound().size() <= BOUND, network.inbound().size() + " clients are held");
                 player.play(Files.writeString(folder.resolve("exchange.txt"),
-                        "client1> POST /aviso-push HTTP/1.1\\r\\nHost: a\\r\\nX-Call-Id: m1\\r\\nX-Call-Class: "
-                        + "aviso-push\\r\\nX-Budget: 5000m\\r\\nContent-Length: 0\\r\\nX-Envelope: dest=7"
-                        + "\\r\\n\\r\\n\n"
+                        "client1> POST /aviso-push HTTP/1.1\\r\\nHost: a\\r\\nX-Call-Id: m1\\r\\n"
+                        + "X-Call-Class: aviso-push\\r\\nX-Budget: 5000m\\r\\nContent-Length: 0\\r\\n"
+                        + "X-Envelope: dest=7\\r\\n\\r\\n\n"
                         + "client1< HTTP/1.1 202 Accepted\\r\\nConnection: close\\r\\n\\r\\n\n"
                         + "endpoint1< POST /receive HTTP/1.1\\r\\nHost: endpoint\\r\\nX-Call-Id: m1\\r\\n"
                         + "X-Budget: {*}m\\r\\nContent-Length: 0\\r\\n\\r\\n\n"
--- a/src/test/java/juniperusher/http/ForeignNamesTest.java
+++ b/src/test/java/juniperusher/http/ForeignNamesTest.java
@@ -48,7 +48,8 @@
             listen = free.getLocalPort();
         }
         player.client("client", listen);
-        JsonObject json = Json.parse(Files.readString(Path.of("src/main/resources/selftest.json"))).asObject();
+        JsonObject json = Json.parse(Files.readString(Path.of("src/main/resources/selftest.json")))
+                .asObject();
         JsonObject settings = json.get("settings").asObject();
         JsonArray classes = new JsonArray();
         for (int i = 0; i < CLASSES.size(); i++) {
@@ -91,8 +92,9 @@
                         + "\\r\\nX-Budget: {*}m\\r\\n" + key + "Content-Length: 2\\r\\n\\r\\nab\n"
                         + "endpoint1> HTTP/1.1 200 OK\\r\\nContent-Length: 0\\r\\n\\r\\n\n");
             }
-            play("client1> POST /aviso-push HTTP/1.1\\r\\nHost: a\\r\\nX-Call-Id: m9\\r\\nX-Call-Class: aviso-push"
-                    + "\\r\\nX-Budget: 9000m\\r\\nContent-Length: 0\\r\\nX-Envelope: dest=7\\r\\n\\r\\n\n"
+            play("client1> POST /aviso-push HTTP/1.1\\r\\nHost: a\\r\\nX-Call-Id: m9\\r\\n"
+                    + "X-Call-Class: aviso-push\\r\\nX-Budget: 9000m\\r\\nContent-Length: 0\\r\\n"
+                    + "X-Envelope: dest=7\\r\\n\\r\\n\n"
                     + "client1< HTTP/1.1 400 Bad Request\\r\\nContent-Length: 24\\r\\n\\r\\n"
                     + "X-Call-Class is unknown\\n\n");
         } finally {
--- a/src/test/java/juniperusher/lab/FleetBudgetTest.java
+++ b/src/test/java/juniperusher/lab/FleetBudgetTest.java
@@ -24,7 +24,8 @@
         JsonObject file = CheckedToml.by(Experiment.class, "experiment.schema.json").read(
                 Path.of("experiments/storm-recovery.toml"), List.of("relays.storm=false", "relays.count="
                 + relays, "clients.load=" + load, "destinations.0.rate=" + rate,
-                "destinations.0.troubles.0.kind=" + kind, "crashes=[{relay = 2, at = 39}, {relay = 5, at = 44}]"));
+                "destinations.0.troubles.0.kind=" + kind,
+                "crashes=[{relay = 2, at = 39}, {relay = 5, at = 44}]"));
         return VirtualEngine.play("", Plan.of(file, seed));
     }
 
--- a/src/test/java/juniperusher/net/LateConnectTest.java
+++ b/src/test/java/juniperusher/net/LateConnectTest.java
@@ -113,7 +113,8 @@
                 boolean left = !end.getOutputString().isEmpty();
                 assertEquals(ends.size(), 1, "round " + round);
                 assertTrue(ends.get(0) == CallEnd.NOT_CONNECTED ? !left : !end.isOpen(),
-                        "seed " + SEED + " round " + round + ": " + ends + ", open=" + end.isOpen() + ", left=" + left);
+                        "seed " + SEED + " round " + round + ": " + ends + ", open=" + end.isOpen()
+                        + ", left=" + left);
                 pool.closeIdle(AT, 0);
             }
         } finally {
--- a/src/test/java/juniperusher/settings/OperatorSettingsTest.java
+++ b/src/test/java/juniperusher/settings/OperatorSettingsTest.java
@@ -41,7 +41,8 @@
 
     @Test
     void theBrokersOfTheFileHaveTheirDefaults() throws Exception {
-        var amqp = OperatorSettings.read(file("[amqp]\nclass = 'own'\nlisten = '127.0.0.1:5672'\n[[amqp.brokers]]\n"
+        var amqp = OperatorSettings.read(file("[amqp]\nclass = 'own'\nlisten = '127.0.0.1:5672'\n"
+                + "[[amqp.brokers]]\n"
                 + "destination = 7\naddress = 'b:5672'\nrouting_key = 'builds'\n")).amqp();
         assertEquals("own", amqp.getString("class", ""));
         assertEquals("own", juniperusher.amqp.AmqpConfig.of(amqp).messageClass());
@@ -51,7 +52,8 @@
 
     @Test
     void whatIsInForceCanBeReadAgain() throws Exception {
-        OperatorSettings first = OperatorSettings.read(file("[storm]\nquiet = 3\n[amqp]\nclass = 'own'\n[[amqp.brokers]]\n"
+        OperatorSettings first = OperatorSettings.read(file("[storm]\nquiet = 3\n[amqp]\nclass = 'own'\n"
+                + "[[amqp.brokers]]\n"
                 + "destination = 7\naddress = 'b:1'\nrouting_key = \"a \\\"b\\\"\"\n"));
         assertEquals(first, OperatorSettings.read(file(first.toml())));
     }
@@ -68,8 +70,8 @@
             [storm];outage_after = -1       | :2: | must have an exclusive minimum value of 0
             [storm];again_calm = 0.5        | :   | again_calm must be below again_share
             [amqp];class = 'c';listen = 'here' | :3: | does not match
-            [amqp];class = 'c';[[amqp.brokers]];destination = 1;address = 'b:1' | :3: | 'routing_key' not found
-            [amqp];class = 'c';[[amqp.brokers]];destination = 1;adress = 'b:1' | :5: | 'amqp.brokers.0.adress' is not known
+            [amqp];class='c';[[amqp.brokers]];destination=1;address='b:1' | :3: | 'routing_key' not found
+            [amqp];class='c';[[amqp.brokers]];destination=1;adress='b:1' | :5: | 'amqp.brokers.0.adress' is not known
             [amqp];listen = 'h:1'           | :1: | 'class' not found
             [storm];margin = 2;[amqp];user = 3 | :2: | maximum value
             """)
@@ -94,7 +96,8 @@
     @Test
     void aValueSetOnTheCommandLineGoesBeforeTheFileAndIsCheckedAsWell() throws Exception {
         CheckedToml checked = CheckedToml.by(OperatorSettings.class, "operator.schema.json");
-        Path file = file("[storm]\nquiet = 3\n[amqp]\nclass = 'own'\n[[amqp.brokers]]\ndestination = 7\naddress = 'b:1'\n"
+        Path file = file("[storm]\nquiet = 3\n[amqp]\nclass = 'own'\n[[amqp.brokers]]\n"
+                + "destination = 7\naddress = 'b:1'\n"
                 + "routing_key = ''\n");
         var read = checked.read(file, List.of("storm.quiet=4", "amqp.brokers.0.destination=8"));
         assertEquals(4, read.get("storm").asObject().getDouble("quiet", 0));
