--- a/src/test/java/juniperusher/settings/OperatorSettingsTest.java
+++ b/src/test/java/juniperusher/settings/OperatorSettingsTest.java
@@ -71,7 +71,7 @@
             [storm];again_calm = 0.5        | :   | again_calm must be below again_share
             [amqp];class = 'c';listen = 'here' | :3: | does not match
             [amqp];class='c';[[amqp.brokers]];destination=1;address='b:1' | :3: | 'routing_key' not found
-            [amqp];class='c';[[amqp.brokers]];destination=1;adress='b:1' | :5: | 'amqp.brokers.0.adress' is not known
+            [amqp];class='c';[[amqp.brokers]];adress='b:1' | :4: | 'amqp.brokers.0.adress' is not known
             [amqp];listen = 'h:1'           | :1: | 'class' not found
             [storm];margin = 2;[amqp];user = 3 | :2: | maximum value
             """)
