--- a/src/main/java/juniperusher/net/HttpClientConnection.java
+++ b/src/main/java/juniperusher/net/HttpClientConnection.java
@@ -236,7 +236,9 @@
                     return () -> {
                         pool.gone(this);
                         linger();
-                        drop();
+                        if (called) {
+                            drop(); // else its interest in the next byte still stands
+                        }
                     };
                 }
                 int before = in.remaining();
@@ -249,7 +251,7 @@
                     return () -> lost(CallEnd.SPOILT);
                 }
             }
-            return lingering ? this::drop : null;
+            return lingering && called ? this::drop : null;
         } catch (IOException | RuntimeException e) {
             return () -> lost(CallEnd.BROKEN);
         }
