Waits that both processes of an upgrade tell are all handed on

Lines to blame, all in SharedWaits: told() read the file, wrote it with its own wait and noted its own time as seen, so that what the other process had told since the last look was never handed on; two that told at once each read the file before the other's was in place, and one wait was lost; two changes within a millisecond looked like one.

The file is read, written and moved into place under a lock between processes, and what counts as seen is what was handed on.

--- a/src/main/java/juniperusher/core/SharedWaits.java
+++ b/src/main/java/juniperusher/core/SharedWaits.java
@@ -1,11 +1,14 @@
 package juniperusher.core;
 
 import java.io.IOException;
+import java.nio.channels.FileChannel;
+import java.nio.channels.FileLock;
 import java.nio.file.AtomicMoveNotSupportedException;
 import java.nio.file.Files;
 import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
+import java.nio.file.StandardOpenOption;
 import java.util.HashMap;
 import java.util.Map;
 import org.slf4j.Logger;
@@ -21,15 +24,32 @@
     private static final Logger LOG = LoggerFactory.getLogger(SharedWaits.class);
     static final String NAME = "waits";
 
+    private static final Object IN_PROCESS = new Object(); // a file lock holds between processes alone
+
     private final Path folder;
-    private long seen = -1; // the file's time when it was read last
+    private Map<Integer, Long> seen = Map.of(); // what the file held when it was handed on last
 
     SharedWaits(Path folder) {
         this.folder = folder;
     }
 
-    /** Adds a wait told here; a shorter one never cuts a longer one short. */
-    synchronized void told(int destination, long untilMillis) {
+    /**
+     * Adds a wait told here; a shorter one never cuts a longer one short. Guards the other process's waits:
+     * nobody writes between this reading and writing, and what is read here still counts as not handed on.
+     */
+    void told(int destination, long untilMillis) {
+        synchronized (IN_PROCESS) {
+            try (FileChannel channel = FileChannel.open(folder.resolve(NAME + ".lock"),
+                    StandardOpenOption.CREATE, StandardOpenOption.WRITE); FileLock lock = channel.lock()) {
+                add(destination, untilMillis);
+            } catch (IOException e) {
+                LOG.atWarn().addKeyValue("destination", destination).log("a wait is not shared: {}",
+                        e.toString());
+            }
+        }
+    }
+
+    private void add(int destination, long untilMillis) throws IOException {
         Map<Integer, Long> all = read();
         all.merge(destination, untilMillis, Math::max);
         long now = System.currentTimeMillis();
@@ -37,34 +57,22 @@
         StringBuilder text = new StringBuilder();
         all.forEach((number, until) -> text.append(number).append(' ').append(until).append('\n'));
         Path beside = folder.resolve(NAME + ".new-" + ProcessHandle.current().pid());
+        Files.writeString(beside, text);
         try {
-            Files.writeString(beside, text);
-            try {
-                Files.move(beside, folder.resolve(NAME), StandardCopyOption.ATOMIC_MOVE,
-                        StandardCopyOption.REPLACE_EXISTING);
-            } catch (AtomicMoveNotSupportedException e) {
-                Files.move(beside, folder.resolve(NAME), StandardCopyOption.REPLACE_EXISTING);
-            }
-            seen = Files.getLastModifiedTime(folder.resolve(NAME)).toMillis();
-        } catch (IOException e) {
-            LOG.atWarn().addKeyValue("destination", destination).log("a wait is not shared: {}",
-                    e.toString());
+            Files.move(beside, folder.resolve(NAME), StandardCopyOption.ATOMIC_MOVE,
+                    StandardCopyOption.REPLACE_EXISTING);
+        } catch (AtomicMoveNotSupportedException e) {
+            Files.move(beside, folder.resolve(NAME), StandardCopyOption.REPLACE_EXISTING);
         }
     }
 
-    /** The waits that are not over, if the file changed since it was read last; else null. */
+    /** The waits that are not over, if they changed since they were handed on last; else null. */
     synchronized Map<Integer, Long> changed() {
-        long time;
-        try {
-            time = Files.getLastModifiedTime(folder.resolve(NAME)).toMillis();
-        } catch (IOException e) {
-            return null;
-        }
-        if (time == seen) {
+        Map<Integer, Long> all = read();
+        if (all.equals(seen)) {
             return null;
         }
-        seen = time;
-        Map<Integer, Long> all = read();
+        seen = Map.copyOf(all);
         long now = System.currentTimeMillis();
         all.values().removeIf(until -> until <= now);
         return all;
