--- a/src/main/java/juniperusher/Control.java
+++ b/src/main/java/juniperusher/Control.java
@@ -91,7 +91,8 @@
         tight = bears < 1;
         crowd = Math.max(1, Math.min(MOST_CROWD, settings.senders() / (CROWD * Math.pow(bears, 3))));
         for (Tenant tenant : settings.tenants()) {
-            Bucket quota = new Bucket(QUOTA_BURST);
+            Bucket quota = new Bucket();
+            quota.burst = QUOTA_BURST;
             quota.start(0, tenant.quota() / settings.senders());
             quotas.add(quota);
         }
@@ -124,8 +125,8 @@
         } else if (event instanceof TargetList e) {
             list(e);
         } else if (event instanceof ListFailed) {
-            askAt = now + pause(++askFailures, FIRST_PAUSE, Math.max(FIRST_PAUSE,
-                    settings.rules().askWithin() / 2));
+            double most = Math.max(FIRST_PAUSE, settings.rules().askWithin() / 2);
+            askAt = now + pause(++askFailures, FIRST_PAUSE, most);
         } else if (event instanceof Retuned e) {
             settings = e.settings(); // a message taken before keeps its class: its item holds it
         } else if (event instanceof Withdrawn e && items.containsKey(e.message())) {
@@ -143,12 +144,13 @@
     private void advise(Destination destination, Advised e) {
         destination.storm.refill(now);
         // Guards against all senders calling at once, as their notes tell all of them of one return.
-        destination.storm.tokens = destination.storm.rate == NEVER ? 0
+        destination.storm.tokens = destination.storm.rate == NEVER
+                ? 0
                 : Math.min(destination.storm.tokens, e.back() ? random.nextDouble() : NEVER);
         destination.storm.rate = e.rate();
         destination.hold = e.hold();
         destination.roomAt = e.returnIn() > 0 ? now + e.returnIn() : 0;
-        if (e.back() && destination.shared != null && destination.shared.open) {
+        if (e.back() && destination.shared.open) {
             startRamp(destination.shared); // no trial is needed; the rate and a told wait still hold
         }
     }
@@ -158,7 +160,8 @@
     private void arrive(Message message) {
         Item item = new Item(message, settings.classes().get(message.messageClass()), now);
         item.destination = destinations.computeIfAbsent(message.destination(), Destination::new);
-        item.inShare = message.tenant() >= quotas.size() || quotas.get(message.tenant()).tryTake(now);
+        item.inShare = message.tenant() >= quotas.size()
+                || quotas.get(message.tenant()).tryTake(now);
         items.put(message.id(), item);
         item.destination.held++;
         item.destination.taken++;
@@ -226,25 +229,24 @@
     private TargetState choose(Item item) {
         TargetState best = null;
         double least = NEVER;
-        boolean all = item.kind.effect() == Effect.SAFE; // what keeps this one here keeps all others
+        boolean all = item.safe; // what keeps this one here keeps all others
         if (item.destination.shut == passes) {
             return null; // guards the core: with much held, nearly all would be asked in vain in each round
         }
         for (TargetState target : item.destination.targets) {
-            if (target.info.phase() != Phase.READY || !mayGo(item, target)) {
+            if (!target.info.ready() || !mayGo(item, target)) {
                 continue;
             }
             all &= !target.gate.open; // a trial may wait for a fitter one
             Call call = forming.get(target);
             // A trial call is filled, but at one that hangs its time-out would bind what joins it.
-            if (call != null && call.size < target.batch && (!call.trial || item.kind.effect() == Effect.SAFE
-                    || !target.gate.hung && item.kind.effect() == Effect.KEYED)) {
+            boolean joins = call != null && (!call.trial || item.safe || !target.gate.hung && !item.unsafe);
+            if (joins && call.size < target.kind.batch()) {
                 return target;
             }
             // Guards against a flaky endpoint beside sound ones, more where a failure binds or is final.
-            double load = (target.calls + 1) * target.usual()
-                    * (1 + (item.kind.zoneOnly() || item.kind.effect() == Effect.UNSAFE ? FLAKY_BOUND : FLAKY)
-                    * target.failures.share(now));
+            double flaky = (item.kind.zoneOnly() || item.unsafe ? FLAKY_BOUND : FLAKY) * target.failures.share(now);
+            double load = (target.calls + 1) * target.usual() * (1 + flaky);
             load *= settings.crossZoneFee() > 0 && target.info.zone() != settings.zone() ? 2 : 1;
             // Guards an endpoint back from a drain against its full part: restarted meanwhile, it is cold.
             double warm = (now - target.backAt) / Math.max(settings.rules().warmWithin(), ANSWER_MARGIN);
@@ -261,8 +263,9 @@
     /** A route's fee, in seconds of lateness that would cost the item as much worth. */
     private double fee(Item item, TargetState target) {
         MessageClass kind = item.kind;
-        double fee = target.apart && target.info.zone() < settings.routeFees().size()
-                ? settings.routeFees().get(target.info.zone()) : 0;
+        boolean charged =
+                target.kind.apart() && target.info.zone() < settings.routeFees().size();
+        double fee = charged ? settings.routeFees().get(target.info.zone()) : 0;
         return fee * (kind.deadline() - kind.aim()) / (1 - kind.lateShare());
     }
 
@@ -277,15 +280,12 @@
             offerTrial(gate, target, item);
             return false;
         }
-        double at = Math.max(Math.max(gate.toldUntil, stormAt),
-                Math.max(gate.pace.readyAt(now), rampReadyAt(gate)));
-        if (item.kind.effect() == Effect.UNSAFE && gate.failures.share(now) > UNSAFE_SHARE
-                && item.deadline - now > UNSAFE_HURRY) {
+        double at = Math.max(Math.max(gate.toldUntil, stormAt), Math.max(gate.pace.readyAt(now), rampReadyAt(gate)));
+        if (item.unsafe && gate.failures.share(now) > UNSAFE_SHARE && item.deadline - now > UNSAFE_HURRY) {
             at = Math.max(at, now + FIRST_PAUSE / 4);
         }
         wakeBy(at > now ? at : NEVER);
-        return at <= now && callsOut + trialsWaiting < settings.allowed().calls()
-                && !overBulkhead(item.destination);
+        return at <= now && callsOut + trialsWaiting < settings.allowed().calls() && !overBulkhead(item.destination);
     }
 
     /** No sick or slow destination may hold all slots. */
@@ -294,8 +294,7 @@
         int out = 0;
         for (TargetState target : destination.targets) {
             out += target.calls;
-            slow |= !target.gate.calls.isEmpty()
-                    && target.gate.calls.get(0).at < now - target.gate.silence();
+            slow |= !target.gate.calls.isEmpty() && target.gate.calls.get(0).at < now - target.gate.silence();
         }
         return out >= Math.max(1, settings.allowed().calls() * (slow ? SLOW_BULKHEAD : BULKHEAD));
     }
@@ -303,7 +302,7 @@
     private void send(Item item, TargetState target, boolean trial) {
         Gate gate = target.gate;
         Call call = forming.get(target);
-        if (call == null || call.size >= target.batch) {
+        if (call == null || call.size >= target.kind.batch()) {
             call = new Call(target, now, trial, idle(target));
             forming.put(target, call);
             gate.calls.add(call);
@@ -318,9 +317,9 @@
         call.open++;
         item.call = call;
         item.attempts++;
-        boolean wait = item.kind.effect() == Effect.UNSAFE && callsOut < settings.allowed().calls() * SCARCE;
-        double timeout = call.trial ? TRIAL_PATIENCE * gate.silence()
-                : Math.max(item.kind.aim(), target.longest()) * (wait ? UNSAFE_PATIENCE : 1);
+        boolean wait = item.unsafe && callsOut < settings.allowed().calls() * SCARCE;
+        double patience = Math.max(item.kind.aim(), target.longest()) * (wait ? UNSAFE_PATIENCE : 1);
+        double timeout = call.trial ? TRIAL_PATIENCE * gate.silence() : patience;
         actions.add(new Send(item.message.id(), target.info.id(), Math.min(timeout, item.deadline - now)));
     }
 
@@ -340,8 +339,8 @@
     /** Closes what is idle where a connection found no place lately, at its kind at least, and in a fleet. */
     private void release() {
         for (TargetState target : quiet) {
-            if (target.calls == 0 && (settings.senders() > FLEET
-                    || now - tablesFull.getOrDefault(target.info.kind(), -NEVER) < IDLE_MEMORY)) {
+            boolean full = now - tablesFull.getOrDefault(target.info.kind(), -NEVER) < IDLE_MEMORY;
+            if (target.calls == 0 && (full || settings.senders() > FLEET)) {
                 actions.add(new CloseIdle(target.info.id()));
                 target.lastUse = -NEVER;
             }
@@ -372,8 +371,7 @@
             callsOut--;
             trialsOut -= call.trial ? 1 : 0;
         }
-        if (item.queue != null && (e.outcome() == Outcome.TIMED_OUT || e.outcome() == Outcome.RESET
-                || e.outcome() == Outcome.CANCELLED)) {
+        if (item.queue != null && e.outcome().mayStillRun()) {
             item.queue.quietUntil = now + settings.rules().keyQuiet();
         }
         if (!e.outcome().neverRan() && !item.mayHaveRun) {
@@ -386,9 +384,10 @@
             return;
         }
         double spread = TOLD_JITTER * crowd * Math.pow(Math.min(2, crowd), item.attempts - 1);
-        item.due = now + (e.told() > 0 ? e.told() * (1 + spread * random.nextDouble())
-                : pause(item.attempts, FIRST_PAUSE * (e.outcome() == Outcome.FULL && !connectionFault(call, e)
-                ? crowd : 1), PAUSE_CAP)); // guards a limit, which others spend unseen; no other outcome did
+        boolean limit = e.outcome() == Outcome.FULL && !connectionFault(call, e); // which others spend unseen
+        double first = FIRST_PAUSE * (limit ? crowd : 1);
+        double told = e.told() * (1 + spread * (e.told() > 0 ? random.nextDouble() : 0));
+        item.due = now + (told > 0 ? told : pause(item.attempts, first, PAUSE_CAP));
         givenUp(item);
     }
 
@@ -413,17 +412,15 @@
     }
 
     private boolean mayRefuse(Item item) {
-        return !item.mayHaveRun || item.kind.effect() == Effect.SAFE
-                || item.kind.effect() == Effect.KEYED && !item.kind.zoneOnly();
+        return !item.mayHaveRun || item.safe || !item.unsafe && !item.kind.zoneOnly();
     }
 
     /** The last moment at which the item may be sent. */
     private double lastSend(Item item) {
-        boolean spent = item.attempts >= settings.allowed().attempts()
-                || item.mayHaveRun && item.kind.effect() == Effect.UNSAFE;
+        boolean spent = item.attempts >= settings.allowed().attempts() || item.mayHaveRun && item.unsafe;
         double last = spent ? -NEVER : item.deadline - ANSWER_MARGIN - item.destination.usual() / 2;
-        return !item.mayHaveRun || item.kind.effect() == Effect.SAFE ? last
-                : Math.min(last, item.mayHaveRunSince + item.kind.keyWindow() - ANSWER_MARGIN);
+        double window = item.mayHaveRunSince + item.kind.keyWindow() - ANSWER_MARGIN;
+        return !item.mayHaveRun || item.safe ? last : Math.min(last, window);
     }
 
     // ---- it is given up ----
@@ -442,8 +439,7 @@
     private void answer(Item item) {
         if (mayRefuse(item)) {
             double after = Math.max(Math.max(FIRST_PAUSE, room(item)), item.destination.toldUntil() - now);
-            actions.add(new Refuse(item.message.id(), settings.allowed().retryAfter()
-                    ? Math.min(after, settings.allowed().maxRetryAfter()) : 0));
+            actions.add(new Refuse(item.message.id(), settings.allowed().retryAfter(after)));
         } else {
             actions.add(new Fail(item.message.id()));
         }
@@ -475,9 +471,13 @@
 
     /** Answers the item of least worth, of one destination or of all; false if none may be refused. */
     private boolean shedOne(Destination only) {
-        Item least = items.values().stream().filter(item -> item.call == null && !item.over && mayRefuse(item)
-                && (only == null || item.destination == only)).min(Comparator.comparingDouble(item ->
-                worth(item) / item.destination.held)).orElse(null);
+        Item least = items.values().stream()
+                .filter(item -> item.call == null
+                        && !item.over
+                        && mayRefuse(item)
+                        && (only == null || item.destination == only))
+                .min(Comparator.comparingDouble(item -> worth(item) / item.destination.held))
+                .orElse(null);
         if (least != null) {
             answer(least);
         }
@@ -490,8 +490,7 @@
         if (destination.roomAt == 0) {
             return 0;
         }
-        destination.roomAt = Math.max(destination.roomAt, now)
-                + (0.5 + random.nextDouble()) / destination.storm.rate;
+        destination.roomAt = Math.max(destination.roomAt, now) + (0.5 + random.nextDouble()) / destination.storm.rate;
         double most = settings.allowed().maxRetryAfter(); // beyond it all would return together
         double in = Math.min(destination.roomAt - now, most * (0.5 + random.nextDouble() / 2));
         return Math.min(in, Math.max(0, item.deadline - now));
@@ -549,8 +548,8 @@
             case FULL -> full(gate, call, e.told());
             case NOT_CONNECTED -> {
                 // Guards against taking a full connection table for an outage: other calls still succeed.
-                if (!gate.open && target.calls > 1
-                        && target.lastOk > now - settings.allowed().connectTimeout()) {
+                boolean succeeds = target.lastOk > now - settings.allowed().connectTimeout();
+                if (!gate.open && target.calls > 1 && succeeds) {
                     tablesFull.put(target.info.kind(), now);
                     target.cap = Math.max(1, target.calls - 1);
                 } else {
@@ -571,8 +570,7 @@
 
     /** Whether no connection had room: all other answers of the kind, refusals too, bring reports. */
     private boolean noPlace(Call call, Ended e) {
-        return e.outcome() == Outcome.FULL && e.told() == 0 && e.report() == null
-                && reporting.contains(call.target.info.kind());
+        return e.barelyRefused() && reporting.contains(call.target.info.kind());
     }
 
     private void probed(TargetState target, boolean ok) {
@@ -602,8 +600,7 @@
         noteBad(gate);
         gate.failures.note(now, 1);
         // Guards a dead route beside sound ones, which many senders would each find anew: one opens it.
-        if (gate.open ? trial : gate.failures.share(now) > TRIP_SHARE || crowd > 1 && row(gate)
-                || spare(gate)) {
+        if (gate.open ? trial : gate.failures.share(now) > TRIP_SHARE || crowd > 1 && row(gate) || spare(gate)) {
             trip(gate, reason);
         }
     }
@@ -615,8 +612,9 @@
 
     /** Whether a sender that sees too little of a route to judge it by a share has another way. */
     private boolean spare(Gate gate) {
-        return demand(gate) * SHUT_AFTER < 1 && gate.destination.targets.stream().anyMatch(target ->
-                target.info.phase() == Phase.READY && target.gate != gate && !target.gate.open);
+        return demand(gate) * SHUT_AFTER < 1
+                && gate.destination.targets.stream()
+                        .anyMatch(other -> other.info.ready() && other.gate != gate && !other.gate.open);
     }
 
     private void full(Gate gate, Call call, double wait) {
@@ -626,14 +624,12 @@
             // Guards against jams: a told wait proves a limit, which rare senders would spend on refusals.
             // Guards restarts: where none is reported, the few successes so far measure nothing.
             double share = (gate.known > 0 ? gate.known : gate.listed) / settings.senders();
-            double part = Math.max(demand(gate.destination), Math.max(gate.known, LEAST_CAPACITY)
-                    / settings.senders());
-            gate.pace.cut(now, Math.max(gate.successes.get(now), share),
-                    wait > 0 && crowd > 1 ? Math.min(LEAST_PACE, part) : LEAST_PACE);
+            double part = Math.max(demand(gate.destination), Math.max(gate.known, LEAST_CAPACITY) / settings.senders());
+            double least = wait > 0 && crowd > 1 ? Math.min(LEAST_PACE, part) : LEAST_PACE;
+            gate.pace.cut(now, Math.max(gate.successes.get(now), share), least);
             gate.pace.tokens = gate.pace.rate < LEAST_PACE ? random.nextDouble() : gate.pace.tokens;
         }
-        if (gate.open ? call.trial : wait > SHUT_AFTER || call.at > gate.badSince
-                && now - gate.badSince > SHUT_AFTER) {
+        if (gate.open ? call.trial : wait > SHUT_AFTER || call.at > gate.badSince && now - gate.badSince > SHUT_AFTER) {
             trip(gate, "shut");
         }
     }
@@ -654,17 +650,18 @@
 
     /** Guards slots, when all are out, against connections gone silent: later calls there are answered. */
     private boolean silent(Call call) {
-        return settings.allowed().cancel() && callsOut >= settings.allowed().calls()
-                && call.target.lastOkSent - call.at > LEAST_SILENCE / 2
-                && now - call.at > Math.max(LEAST_SILENCE, call.target.longest());
+        boolean passed = call.target.lastOkSent - call.at > LEAST_SILENCE / 2;
+        boolean overdue = now - call.at > Math.max(LEAST_SILENCE, call.target.longest());
+        return passed
+                && overdue
+                && settings.allowed().cancel()
+                && callsOut >= settings.allowed().calls();
     }
 
     private boolean silent(Gate gate) {
-        double from = gate.calls.isEmpty() ? NEVER : gate.lastOk;
-        double until = gate.calls.isEmpty() ? -NEVER : now - gate.silence();
         int overdue = 0;
         for (Call call : gate.calls) {
-            overdue += call.at < until && call.at > from ? 1 : 0;
+            overdue += call.at > gate.lastOk && call.at < now - gate.silence() ? 1 : 0;
         }
         return overdue > 1 || overdue == 1 && gate.bad > 0;
     }
@@ -686,29 +683,31 @@
         gate.rampFrom = NEVER;
         // Guards limits and cold servers against trials in turn; where none gets through, against none.
         double turns = reason.equals("failed connects") && gate.toldUntil <= now ? 1 : crowd;
-        double cooldown = Math.max(bearable(gate), turns * Math.min(FIRST_COOLDOWN
-                * Math.pow(2, gate.trips - 1), gate.toldUntil > now ? REFUSED_COOLDOWN_CAP : COOLDOWN_CAP));
-        gate.openUntil = Math.max(now, gate.toldUntil) + pause(1, cooldown, NEVER);
+        double cap = gate.toldUntil > now ? REFUSED_COOLDOWN_CAP : COOLDOWN_CAP;
+        double cooldown = turns * Math.min(FIRST_COOLDOWN * Math.pow(2, gate.trips - 1), cap);
+        gate.openUntil = Math.max(now, gate.toldUntil) + pause(1, Math.max(bearable(gate), cooldown), NEVER);
     }
 
     /** Seconds between one sender's trials: those of all that know are no more than a cold one bears. */
     private double bearable(Gate gate) {
         double part = Math.max(demand(gate), gate.listed / settings.senders());
         double known = Math.min(Math.max(now - gate.badSince, spare(gate) ? SHUT_AFTER : 0), 1 / part);
-        double bears = settings.rules().tipMultiple() * settings.rules().coldFrom();
-        double n = bears * Math.max(part * settings.senders(), LEAST_CAPACITY) * settings.rules().tipAfter();
+        Rules rules = settings.rules();
+        double bears = rules.tipMultiple() * rules.coldFrom();
+        double n = bears * Math.max(part * settings.senders(), LEAST_CAPACITY) * rules.tipAfter();
         bears *= crowd > 1 ? TRIAL_PART * (1 + 2 / Math.sqrt(n) + 2 / n) : 1;
         return known / bears * (spare(gate) ? 2 : 1);
     }
 
     /** Guards slots against many destinations hanging at once: calls off what may be repeated at one. */
     private void freeSlots(Gate gate, boolean silence) {
-        if (!silence || !settings.allowed().cancel() || callsOut < settings.allowed().calls() * SCARCE) {
+        boolean scarce = callsOut >= settings.allowed().calls() * SCARCE;
+        if (!silence || !settings.allowed().cancel() || !scarce) {
             return;
         }
-        items.values().stream().filter(item -> item.call != null && item.call.target.gate == gate
-                && item.kind.effect() != Effect.UNSAFE).forEach(item ->
-                actions.add(new Cancel(item.message.id(), item.attempts - 1)));
+        items.values().stream()
+                .filter(item -> item.call != null && item.call.target.gate == gate && !item.unsafe)
+                .forEach(item -> actions.add(new Cancel(item.message.id(), item.attempts - 1)));
     }
 
     /** Notes the item best fit for a trial. */
@@ -717,10 +716,7 @@
         if (gate.openUntil > now || gate.trialOut) {
             return;
         }
-        if (gate.trial == null) {
-            trials.add(gate);
-        }
-        if (gate.trial == null || trialOrder(item) < trialOrder(gate.trial)) {
+        if (gate.trial == null && trials.add(gate) || trialOrder(item) < trialOrder(gate.trial)) {
             gate.trial = item;
             gate.trialTarget = target;
         }
@@ -738,7 +734,7 @@
         if (item.call != null) {
             return;
         }
-        if (item.kind.effect() == Effect.UNSAFE && settings.allowed().probes()) {
+        if (item.unsafe && settings.allowed().probes()) {
             gate.trialOut = true;
             actions.add(new Probe(target.info.id()));
         } else if (trialsOut < Math.max(1, settings.allowed().calls() * TRIAL_BULKHEAD)) {
@@ -767,8 +763,8 @@
 
     /** Calls a second that this sender may send a destination on its way back from an outage. */
     private double rampRate(Gate gate) {
-        double part = Math.min(1, (now - gate.rampFrom) / Math.max(settings.rules().warmWithin(),
-                ANSWER_MARGIN));
+        double part =
+                Math.min(1, (now - gate.rampFrom) / Math.max(settings.rules().warmWithin(), ANSWER_MARGIN));
         double present = settings.rules().coldFrom() + (1 - settings.rules().coldFrom()) * part;
         double own = crowd > 1 && tight ? demand(gate) : gate.best;
         double capacity = Math.max(own, Math.max(gate.listed, LEAST_CAPACITY) / settings.senders());
@@ -777,12 +773,11 @@
     }
 
     private double rampReadyAt(Gate gate) {
-        if (gate.rampFrom == NEVER) {
-            return now;
-        }
         if (now - gate.rampFrom > settings.rules().warmWithin()) {
             gate.rampFrom = NEVER;
             gate.ramp.rate = NEVER;
+        }
+        if (gate.rampFrom == NEVER) {
             return now;
         }
         gate.ramp.refill(now);
@@ -808,9 +803,7 @@
             } else if (info.phase() != Phase.GONE) {
                 known = new TargetState(info, settings.kinds().get(info.kind()));
                 Destination destination = destinations.computeIfAbsent(info.destination(), Destination::new);
-                destination.shared = destination.shared == null ? new Gate(destination, null)
-                        : destination.shared;
-                known.gate = known.apart ? new Gate(destination, info) : destination.shared;
+                known.gate = known.kind.apart() ? new Gate(destination, info) : destination.shared;
                 known.gate.targets.add(known);
                 destination.targets.add(known);
                 targets.put(info.id(), known);
@@ -824,11 +817,14 @@
 
     /** Guards against lists that only grow: drops what is long gone; a probe out has ended by then. */
     private void forget() {
-        targets.values().forEach(target -> target.readyAt =
-                target.info.phase() == Phase.READY || target.calls > 0 ? now : target.readyAt);
-        targets.values().removeIf(target -> target.info.phase() == Phase.GONE
-                && target.readyAt < now - GONE_MEMORY && target.gate.targets.remove(target)
-                && target.gate.destination.targets.remove(target));
+        for (TargetState target : List.copyOf(targets.values())) {
+            target.readyAt = target.info.ready() || target.calls > 0 ? now : target.readyAt;
+            if (target.info.phase() == Phase.GONE && target.readyAt < now - GONE_MEMORY) {
+                target.gate.targets.remove(target);
+                target.gate.destination.targets.remove(target);
+                targets.remove(target.info.id());
+            }
+        }
     }
 
     /** How many targets it remembers. */
@@ -846,7 +842,6 @@
         wakeBy(askAt);
     }
 
-
     private void wakeBy(double time) {
         wake = Math.min(wake, time);
     }
@@ -868,6 +863,7 @@
         final double deadline;
         Destination destination;
         KeyQueue queue;
+        final boolean safe, unsafe; // to repeat
         boolean inShare, over, mayHaveRun;
         int attempts, mayHaveRunZone;
         Call call;
@@ -876,6 +872,8 @@
         Item(Message message, MessageClass kind, double now) {
             this.message = message;
             this.kind = kind;
+            safe = kind.effect() == Effect.SAFE;
+            unsafe = kind.effect() == Effect.UNSAFE;
             deadline = now + message.timeLeft();
             attempts = message.attempts(); // after a restart of the sender, see the forwarder's journal
             mayHaveRun = message.ran() != null; // Guards the window: it runs on over the sender's restart
@@ -910,14 +908,15 @@
     private static final class Destination {
         final int id;
         final List<TargetState> targets = new ArrayList<>();
-        Gate shared; // where routes are not apart; outlives its targets, as waits and paces do
-        final Bucket storm = new Bucket(BURST); // what this sender may call there in a storm
+        final Gate shared; // where routes are not apart; outlives its targets, as waits and paces do
+        final Bucket storm = new Bucket(); // what this sender may call there in a storm
         int held, taken, hold = Integer.MAX_VALUE;
         double roomAt; // when there will be room in a storm for the next one refused
         long shut; // the pass over the items in which none of its own can be sent any more
 
         Destination(int id) {
             this.id = id;
+            shared = new Gate(this, null);
         }
 
         double usual() {
@@ -932,7 +931,7 @@
         double toldUntil() {
             double until = NEVER;
             for (TargetState target : targets) {
-                until = target.info.phase() == Phase.READY ? Math.min(until, target.gate.toldUntil) : until;
+                until = target.info.ready() ? Math.min(until, target.gate.toldUntil) : until;
             }
             return until == NEVER ? 0 : until;
         }
@@ -940,8 +939,7 @@
 
     /** A target: phase, calls out, usual response time, cap on connections. */
     private static final class TargetState {
-        final int batch;
-        final boolean apart;
+        final Kind kind;
         final Failures failures = new Failures();
         double cap = NEVER, lastOk = -NEVER, lastOkSent = -NEVER, lastUse = -NEVER, backAt = -NEVER;
         Gate gate;
@@ -951,8 +949,7 @@
 
         TargetState(Target info, Kind kind) {
             this.info = info;
-            batch = kind.batch();
-            apart = kind.apart();
+            this.kind = kind;
         }
 
         void answered(double elapsed) {
@@ -981,7 +978,7 @@
         final List<TargetState> targets = new ArrayList<>();
         final List<Call> calls = new ArrayList<>();
         final Pace pace = new Pace();
-        final Bucket ramp = new Bucket(BURST);
+        final Bucket ramp = new Bucket();
         final Rate successes = new Rate();
         final Failures failures = new Failures();
         double badSince = NEVER, rampFrom = NEVER, rampCut = 1, lastOk = -NEVER;
@@ -1021,14 +1018,9 @@
 
     /** Token bucket. */
     private static class Bucket {
-        final double burst;
-        double rate = NEVER;
+        double burst = BURST, rate = NEVER;
         double tokens, at;
 
-        Bucket(double burst) {
-            this.burst = burst;
-        }
-
         void start(double now, double newRate) {
             rate = newRate;
             tokens = 0;
@@ -1061,11 +1053,7 @@
 
     /** Pace of calls: none until refused, then cut at each refusal and climbing with successes. */
     private static final class Pace extends Bucket {
-        double cutAt = Double.NEGATIVE_INFINITY;
-
-        Pace() {
-            super(BURST);
-        }
+        double cutAt = -NEVER;
 
         void cut(double now, double successes, double least) {
             refill(now);
--- a/src/main/java/juniperusher/Protocol.java
+++ b/src/main/java/juniperusher/Protocol.java
@@ -12,16 +12,23 @@
  * and never reused.
  */
 public final class Protocol {
-    private Protocol() {
-    }
+    private Protocol() {}
 
     // ---- settings ----
 
     /** Whether a message may be repeated: freely, within a window where repeats are dropped, or never. */
-    public enum Effect { SAFE, KEYED, UNSAFE }
+    public enum Effect {
+        SAFE,
+        KEYED,
+        UNSAFE
+    }
 
     /** What the weight of a listed target holds: nothing, its rate, or its rate up to half off. */
-    public enum Weight { NONE, NOMINAL, ROUGH }
+    public enum Weight {
+        NONE,
+        NOMINAL,
+        ROUGH
+    }
 
     /**
      * A class of message.
@@ -36,8 +43,16 @@
      * @param worth      worth of a message
      * @param lateShare  share of the worth that is left at the deadline
      */
-    public record MessageClass(String name, Effect effect, boolean zoneOnly, double keyWindow,
-            boolean ordered, double aim, double deadline, double worth, double lateShare) {
+    public record MessageClass(
+            String name,
+            Effect effect,
+            boolean zoneOnly,
+            double keyWindow,
+            boolean ordered,
+            double aim,
+            double deadline,
+            double worth,
+            double lateShare) {
         public MessageClass {
             positive("deadline", deadline);
             notNegative("aim", aim);
@@ -45,15 +60,21 @@
         }
 
         /** A class without a name. */
-        public MessageClass(Effect effect, boolean zoneOnly, double keyWindow, boolean ordered, double aim,
-                double deadline, double worth, double lateShare) {
+        public MessageClass(
+                Effect effect,
+                boolean zoneOnly,
+                double keyWindow,
+                boolean ordered,
+                double aim,
+                double deadline,
+                double worth,
+                double lateShare) {
             this("", effect, zoneOnly, keyWindow, ordered, aim, deadline, worth, lateShare);
         }
     }
 
     /** A tenant and the messages a second, over all senders, that are within its share. */
-    public record Tenant(double quota) {
-    }
+    public record Tenant(double quota) {}
 
     /** A kind of destination: messages a call carries at most; whether its targets are routes apart. */
     public record Kind(int batch, boolean apart) {
@@ -73,8 +94,14 @@
      * @param keyQuiet    rest of a key after an attempt that may still run
      * @param askWithin   where the list is asked for: a sender that has not asked for so long counts as told
      */
-    public record Rules(double drainGrace, double coldFrom, double warmWithin, double tipMultiple,
-            double tipAfter, double keyQuiet, double askWithin) {
+    public record Rules(
+            double drainGrace,
+            double coldFrom,
+            double warmWithin,
+            double tipMultiple,
+            double tipAfter,
+            double keyQuiet,
+            double askWithin) {
         public Rules {
             notNegative("drainGrace", drainGrace);
             positive("coldFrom", coldFrom);
@@ -100,14 +127,28 @@
      * @param connectTimeout a connection not made by then has failed
      * @param keepAlive      a connection unused for so long closes by itself
      */
-    public record Allowed(int attempts, int held, int calls, boolean cancel, boolean secondCopies,
-            boolean probes, boolean notes, boolean retryAfter, double maxRetryAfter, double connectTimeout,
+    public record Allowed(
+            int attempts,
+            int held,
+            int calls,
+            boolean cancel,
+            boolean secondCopies,
+            boolean probes,
+            boolean notes,
+            boolean retryAfter,
+            double maxRetryAfter,
+            double connectTimeout,
             double keepAlive) {
         public Allowed {
             positive("attempts", attempts);
             positive("held", held);
             positive("calls", calls);
         }
+
+        /** What a refusal may say of the seconds after which to come again; 0 for nothing. */
+        public double retryAfter(double seconds) {
+            return retryAfter ? Math.min(seconds, maxRetryAfter) : 0;
+        }
     }
 
     /**
@@ -122,9 +163,20 @@
      * @param crossZoneFee   price of an attempt that leaves the zone
      * @param routeFees      for each zone: price of a message that a route apart there takes on; may be empty
      */
-    public record Settings(int senders, int zone, boolean askForList, Weight weight, double overShareWorth,
-            boolean halving, double crossZoneFee, List<Double> routeFees, Rules rules, Allowed allowed,
-            List<MessageClass> classes, List<Kind> kinds, List<Tenant> tenants) {
+    public record Settings(
+            int senders,
+            int zone,
+            boolean askForList,
+            Weight weight,
+            double overShareWorth,
+            boolean halving,
+            double crossZoneFee,
+            List<Double> routeFees,
+            Rules rules,
+            Allowed allowed,
+            List<MessageClass> classes,
+            List<Kind> kinds,
+            List<Tenant> tenants) {
         public Settings {
             positive("senders", senders);
             routeFees = List.copyOf(routeFees);
@@ -137,15 +189,33 @@
     // ---- events ----
 
     /** Something that the sender is told. */
-    public sealed interface Event permits TargetList, ListFailed, Arrived, Ended, Withdrawn, Woken, Probed,
-            Noted, Streaming, Advised, Retuned {
-    }
+    public sealed interface Event
+            permits TargetList,
+                    ListFailed,
+                    Arrived,
+                    Ended,
+                    Withdrawn,
+                    Woken,
+                    Probed,
+                    Noted,
+                    Streaming,
+                    Advised,
+                    Retuned {}
 
     /** Phase of a listed target; it tells nothing of health. */
-    public enum Phase { READY, DRAINING, GONE }
+    public enum Phase {
+        READY,
+        DRAINING,
+        GONE
+    }
 
     /** A target of a destination. {@code weight} is as {@link Settings#weight} says. */
     public record Target(int id, int destination, int kind, int zone, double weight, Phase phase) {
+        /** Whether it may be sent something new; it tells nothing of health. */
+        public boolean ready() {
+            return phase == Phase.READY;
+        }
+
         /** The same target, gone from the list. */
         public Target gone() {
             return new Target(id, destination, kind, zone, weight, Phase.GONE);
@@ -153,12 +223,10 @@
     }
 
     /** The list of targets; {@code whole} replaces the old list, else only changed ones are named. */
-    public record TargetList(boolean whole, List<Target> targets) implements Event {
-    }
+    public record TargetList(boolean whole, List<Target> targets) implements Event {}
 
     /** Asking for the list failed or the watch on it broke; the old list stands. */
-    public record ListFailed() implements Event {
-    }
+    public record ListFailed() implements Event {}
 
     /**
      * An attempt that may have run, of a process before this one.
@@ -166,8 +234,7 @@
      * @param ago  seconds since its send
      * @param zone place of its target's zone in the settings
      */
-    public record Ran(double ago, int zone) {
-    }
+    public record Ran(double ago, int zone) {}
 
     /**
      * A message taken.
@@ -180,11 +247,18 @@
      * @param ran          the first of them that may have run, or null if none may
      * @param again        it is marked as handed in again
      */
-    public record Message(int id, int messageClass, int tenant, int destination, long key, double timeLeft,
-            int attempts, Ran ran, boolean again) {
+    public record Message(
+            int id,
+            int messageClass,
+            int tenant,
+            int destination,
+            long key,
+            double timeLeft,
+            int attempts,
+            Ran ran,
+            boolean again) {
         /** A message that is not marked as handed in again. */
-        public Message(int id, int messageClass, int tenant, int destination, long key, double timeLeft,
-                int attempts) {
+        public Message(int id, int messageClass, int tenant, int destination, long key, double timeLeft, int attempts) {
             this(id, messageClass, tenant, destination, key, timeLeft, attempts, null, false);
         }
 
@@ -195,13 +269,18 @@
     }
 
     /** The sender has taken a message. */
-    public record Arrived(Message message) implements Event {
-    }
+    public record Arrived(Message message) implements Event {}
 
     /** How an attempt ended. */
     public enum Outcome {
-        DELIVERED(false), ERROR(false), FULL(true), TIMED_OUT(false), NOT_CONNECTED(true), RESET(false),
-        CANCELLED(false), NOT_SENT(true);
+        DELIVERED(false),
+        ERROR(false),
+        FULL(true),
+        TIMED_OUT(false),
+        NOT_CONNECTED(true),
+        RESET(false),
+        CANCELLED(false),
+        NOT_SENT(true);
 
         private final boolean neverRan;
 
@@ -213,11 +292,15 @@
         public boolean neverRan() {
             return neverRan;
         }
+
+        /** Whether the attempt may run on at the target though nobody waits for it any more. */
+        public boolean mayStillRun() {
+            return this == TIMED_OUT || this == RESET || this == CANCELLED;
+        }
     }
 
     /** What a target reports: the limit in calls a second, 0 for none, and the share of it left just now. */
-    public record Report(double limit, double left) {
-    }
+    public record Report(double limit, double left) {}
 
     /**
      * The outcome of an attempt; each {@link Send} gets one.
@@ -228,36 +311,42 @@
      * @param told    after {@code FULL}: how long to send nothing to the destination, 0 for not told
      * @param report  what the target reported, or null
      */
-    public record Ended(int message, int attempt, int target, Outcome outcome, double elapsed, boolean over,
-            double told, Report report) implements Event {
+    public record Ended(
+            int message,
+            int attempt,
+            int target,
+            Outcome outcome,
+            double elapsed,
+            boolean over,
+            double told,
+            Report report)
+            implements Event {
+        /** Whether it was turned away with neither a wait nor a report. */
+        public boolean barelyRefused() {
+            return outcome == Outcome.FULL && told == 0 && report == null;
+        }
     }
 
     /**
      * The settings are read anew: messages taken from now on go by their classes and limits. One taken before
      * keeps the class that it came with. Classes keep their places; new ones come after them.
      */
-    public record Retuned(Settings settings) implements Event {
-    }
+    public record Retuned(Settings settings) implements Event {}
 
     /** The client no longer wants the message; no answer is owed. */
-    public record Withdrawn(int message) implements Event {
-    }
+    public record Withdrawn(int message) implements Event {}
 
     /** The time asked for by {@link WakeAt} has come. */
-    public record Woken(long token) implements Event {
-    }
+    public record Woken(long token) implements Event {}
 
     /** The result of a {@link Probe}. */
-    public record Probed(int target, boolean ok, boolean full, double elapsed) implements Event {
-    }
+    public record Probed(int target, boolean ok, boolean full, double elapsed) implements Event {}
 
     /** A note from another sender. */
-    public record Noted(int from, byte[] note) implements Event {
-    }
+    public record Noted(int from, byte[] note) implements Event {}
 
     /** The answer to a message has begun to flow. */
-    public record Streaming(int message, int attempt) implements Event {
-    }
+    public record Streaming(int message, int attempt) implements Event {}
 
     /**
      * What was found of a destination beside single messages; it holds until the next such word.
@@ -267,60 +356,46 @@
      * @param returnIn when there will be room for another message, 0 if nothing is known of that
      * @param back     it has just been seen to answer again, beside the sender's own calls
      */
-    public record Advised(int destination, double rate, int hold, double returnIn, boolean back)
-            implements Event {
-    }
+    public record Advised(int destination, double rate, int hold, double returnIn, boolean back) implements Event {}
 
     // ---- actions ----
 
     /** Something that the sender is to do; actions are carried out in their order. */
-    public sealed interface Action permits Send, Refuse, Fail, WakeAt, Cancel, Watch, Reload, Probe,
-            CloseIdle, Note, Log {
-    }
+    public sealed interface Action
+            permits Send, Refuse, Fail, WakeAt, Cancel, Watch, Reload, Probe, CloseIdle, Note, Log {}
 
     /** Call the target with the message; sends of a round to one target share a call where it may be. */
-    public record Send(int message, int target, double timeout) implements Action {
-    }
+    public record Send(int message, int target, double timeout) implements Action {}
 
     /** End the message undelivered; the client may safely return, after {@code after} if that is above 0. */
-    public record Refuse(int message, double after) implements Action {
-    }
+    public record Refuse(int message, double after) implements Action {}
 
     /** End the message as failed; nothing is said of whether it took effect. */
-    public record Fail(int message) implements Action {
-    }
+    public record Fail(int message) implements Action {}
 
     /** Send a {@link Woken} with the token at or after the time. */
-    public record WakeAt(double time, long token) implements Action {
-    }
+    public record WakeAt(double time, long token) implements Action {}
 
     /** Cease to await an attempt. */
-    public record Cancel(int message, int attempt) implements Action {
-    }
+    public record Cancel(int message, int attempt) implements Action {}
 
     /** Open or close a standing watch on the list of targets. */
-    public record Watch(boolean on) implements Action {
-    }
+    public record Watch(boolean on) implements Action {}
 
     /** Ask for the whole list once. */
-    public record Reload() implements Action {
-    }
+    public record Reload() implements Action {}
 
     /** Check a target; the destination counts it like a call. */
-    public record Probe(int target) implements Action {
-    }
+    public record Probe(int target) implements Action {}
 
     /** Close idle connections to a target. */
-    public record CloseIdle(int target) implements Action {
-    }
+    public record CloseIdle(int target) implements Action {}
 
     /** Write to another sender, or to all others if {@code to} is -1. */
-    public record Note(int to, byte[] note) implements Action {
-    }
+    public record Note(int to, byte[] note) implements Action {}
 
     /** A line for the operators, on a change of state. */
-    public record Log(String line) implements Action {
-    }
+    public record Log(String line) implements Action {}
 
     private static void positive(String field, double value) {
         if (!(value > 0)) {
