Classes in order and tenants: keys are read, journalled and told to the module

PlatformFront read neither the query parameter 'subject' nor X-Caller, and Relay told the module of each message with tenant 0 and key 0.

A message that ends by a status report holds its key until that is acknowledged (AnswerPending, AnswerAcknowledged), over a restart too, and until no shared call with it is out; then the key rests. At an upgrade (OrderHandover, SuccessorMark) the owner holds back what it takes on in order once it sees its successor, and the successor holds back all until the owner has ended, then sends both by the time of taking on.

--- a/src/main/java/juniperusher/Control.java
+++ b/src/main/java/juniperusher/Control.java
@@ -64,8 +64,9 @@
     private final double crowd; // factor on pauses, as senders that see little repeat unseen by each other
     private final boolean tight; // a return bears less than a second of its capacity at once
     private final Map<Integer, Item> items = new LinkedHashMap<>();
-    private final Map<Integer, TargetState> targets = new LinkedHashMap<>();
+    final Map<Integer, TargetState> targets = new LinkedHashMap<>();
     private final Map<Integer, Destination> destinations = new LinkedHashMap<>();
+    private final Set<Destination> inStorm = new LinkedHashSet<>(); // with a bound on what is held
     private final Map<Long, KeyQueue> keys = new LinkedHashMap<>();
     private final Map<Integer, Double> tablesFull = new LinkedHashMap<>(); // by kind: no place was left
     private final Set<Integer> reporting = new TreeSet<>(); // kinds whose answers bring reports
@@ -74,9 +75,8 @@
     private final List<Gate> trials = new ArrayList<>();
     private final Set<TargetState> quiet = new LinkedHashSet<>(); // where a call or probe ended this round
     private List<Action> actions = new ArrayList<>();
-    private double now = Double.NEGATIVE_INFINITY;
     private int callsOut, trialsOut, trialsWaiting, askFailures;
-    private double born, wake = NEVER, pendingWake = NEVER, askAt = NEVER;
+    private double now = -NEVER, born, wake = NEVER, pendingWake = NEVER, askAt = NEVER;
     private long wakeToken, passes;
     private double reapedUntil, refutedAt, reapedAfter = NEVER; // idle connections dropped unseen, see idle
     private TargetState reapedAt;
@@ -112,7 +112,7 @@
         dispatch();
         release();
         shed();
-        keys.values().removeIf(queue -> queue.items.isEmpty() && queue.quietUntil <= now);
+        keys.values().removeIf(queue -> queue.unused(now));
         setTimer();
         return actions;
     }
@@ -135,6 +135,11 @@
             pendingWake = NEVER;
         } else if (event instanceof Probed e && targets.containsKey(e.target())) {
             probed(targets.get(e.target()), e.ok());
+        } else if (event instanceof AnswerPending e) {
+            queue(e.key()).unacknowledged.add(e.message());
+        } else if (event instanceof AnswerAcknowledged e
+                && queue(e.key()).unacknowledged.remove(e.message())) {
+            queue(e.key()).quietUntil = now + settings.rules().keyQuiet(); // an attempt may have ended just now
         } else if (event instanceof Advised e) {
             advise(destinations.computeIfAbsent(e.destination(), Destination::new), e);
         }
@@ -149,6 +154,7 @@
                 : Math.min(destination.storm.tokens, e.back() ? random.nextDouble() : NEVER);
         destination.storm.rate = e.rate();
         destination.hold = e.hold();
+        inStorm.add(destination);
         destination.roomAt = e.returnIn() > 0 ? now + e.returnIn() : 0;
         if (e.back() && destination.shared.open) {
             startRamp(destination.shared); // no trial is needed; the rate and a told wait still hold
@@ -166,11 +172,16 @@
         item.destination.held++;
         item.destination.taken++;
         if (item.kind.ordered() && message.key() != 0) {
-            item.queue = keys.computeIfAbsent(message.key(), key -> new KeyQueue());
+            item.queue = queue(message.key());
             item.queue.items.add(item);
+            item.queue.items.sort(Comparator.comparingLong(one -> one.message.takenAt())); // stable
         }
     }
 
+    private KeyQueue queue(long key) {
+        return keys.computeIfAbsent(key, unknown -> new KeyQueue());
+    }
+
     // ---- it is sent ----
 
     private void dispatch() {
@@ -181,7 +192,8 @@
             if (item.call != null && silent(item.call)) {
                 actions.add(new Cancel(item.message.id(), item.attempts - 1));
             } else if (!item.over && item.call == null && !givenUp(item) && due(item)) {
-                item.rank = rank(item);
+                // Worth that a send now would still win, by slot time; tenants within their share come first.
+                item.rank = (item.inShare ? 1000 : 0) + worth(item) / item.destination.usual();
                 ready.add(item);
             }
         }
@@ -210,12 +222,7 @@
         boolean fresh = item.queue != null && item.attempts == 0;
         double from = fresh ? Math.max(item.due, item.queue.quietUntil) : item.due;
         wakeBy(from > now ? from : NEVER);
-        return from <= now && (item.queue == null || item.queue.items.peek() == item);
-    }
-
-    /** Worth that a send now would still win, by slot time; tenants within their share come first. */
-    private double rank(Item item) {
-        return (item.inShare ? 1000 : 0) + worth(item) / item.destination.usual();
+        return from <= now && (item.queue == null || item.queue.hasTurn(item));
     }
 
     /** A step at the aim: by the real curve one just late takes the slot of one in time; both end late. */
@@ -326,14 +333,12 @@
     /** Seconds a new call's connection was idle, 0 for a new one; closes those likely dropped unseen. */
     private double idle(TargetState target) {
         double idle = now - target.lastUse;
-        if (idle > settings.allowed().keepAlive()) {
-            return 0;
-        }
-        if (now < reapedUntil && (target.calls > 0 || idle > reapedAfter)) {
+        boolean kept = idle <= settings.allowed().keepAlive();
+        boolean dropped = now < reapedUntil && (target.calls > 0 || idle > reapedAfter);
+        if (kept && dropped) {
             actions.add(new CloseIdle(target.info.id()));
-            return 0;
         }
-        return target.calls > 0 ? 0 : idle;
+        return !kept || dropped || target.calls > 0 ? 0 : idle;
     }
 
     /** Closes what is idle where a connection found no place lately, at its kind at least, and in a fleet. */
@@ -351,7 +356,10 @@
     // ---- its attempt ends ----
 
     private void end(Ended e) {
-        heed(e);
+        TargetState from = targets.get(e.target());
+        if (from != null && e.told() > 0) { // every answer counts, late or not, each message's of a call
+            from.gate.toldUntil = Math.max(from.gate.toldUntil, now + e.told() + TOLD_MARGIN);
+        }
         Item item = items.get(e.message());
         if (item == null || item.call == null || e.attempt() != item.attempts - 1) {
             return;
@@ -391,14 +399,6 @@
         givenUp(item);
     }
 
-    /** Guards told waits: every answer that tells one counts, late or not, each message's of a call. */
-    private void heed(Ended e) {
-        TargetState target = targets.get(e.target());
-        if (target != null && e.told() > 0) {
-            target.gate.toldUntil = Math.max(target.gate.toldUntil, now + e.told() + TOLD_MARGIN);
-        }
-    }
-
     /** Half of a doubling, capped base and a random share of the other half. */
     private double pause(int failures, double first, double cap) {
         double base = Math.min(first * Math.pow(2, Math.max(0, failures - 1)), cap);
@@ -444,6 +444,9 @@
             actions.add(new Fail(item.message.id()));
         }
         finish(item);
+        if (item.queue != null && item.message.acknowledged()) {
+            item.queue.unacknowledged.add(item.message.id());
+        }
     }
 
     private void finish(Item item) {
@@ -459,7 +462,7 @@
 
     /** Sheds the least worth by room and time, where the most is held, before the held room runs out. */
     private void shed() {
-        for (Destination destination : destinations.values()) {
+        for (Destination destination : inStorm) {
             while (destination.held > destination.hold && shedOne(destination)) {
                 continue; // Guards sound destinations: no storm may fill the held room
             }
@@ -702,12 +705,11 @@
     /** Guards slots against many destinations hanging at once: calls off what may be repeated at one. */
     private void freeSlots(Gate gate, boolean silence) {
         boolean scarce = callsOut >= settings.allowed().calls() * SCARCE;
-        if (!silence || !settings.allowed().cancel() || !scarce) {
-            return;
+        if (silence && settings.allowed().cancel() && scarce) {
+            items.values().stream()
+                    .filter(item -> item.call != null && item.call.target.gate == gate && !item.unsafe)
+                    .forEach(item -> actions.add(new Cancel(item.message.id(), item.attempts - 1)));
         }
-        items.values().stream()
-                .filter(item -> item.call != null && item.call.target.gate == gate && !item.unsafe)
-                .forEach(item -> actions.add(new Cancel(item.message.id(), item.attempts - 1)));
     }
 
     /** Notes the item best fit for a trial. */
@@ -730,7 +732,6 @@
     private void sendTrial(Gate gate) {
         Item item = gate.trial;
         TargetState target = gate.trialTarget;
-        gate.trial = null;
         if (item.call != null) {
             return;
         }
@@ -803,7 +804,8 @@
             } else if (info.phase() != Phase.GONE) {
                 known = new TargetState(info, settings.kinds().get(info.kind()));
                 Destination destination = destinations.computeIfAbsent(info.destination(), Destination::new);
-                known.gate = known.kind.apart() ? new Gate(destination, info) : destination.shared;
+                String route = destination.shared.name + " route=" + info.id();
+                known.gate = known.kind.apart() ? new Gate(destination, route) : destination.shared;
                 known.gate.targets.add(known);
                 destination.targets.add(known);
                 targets.put(info.id(), known);
@@ -827,11 +829,6 @@
         }
     }
 
-    /** How many targets it remembers. */
-    int remembered() {
-        return targets.size();
-    }
-
     /** Opens the watch on the list at the start and again, after a pause, when it failed. */
     private void followList() {
         if (settings.askForList() && (!started || askAt <= now)) {
@@ -884,8 +881,17 @@
 
     /** Messages of one key, in the order taken; the first has the turn. */
     private static final class KeyQueue {
-        final ArrayDeque<Item> items = new ArrayDeque<>();
+        final List<Item> items = new ArrayList<>();
+        final Set<Integer> unacknowledged = new TreeSet<>(); // messages whose answers hold the others
         double quietUntil;
+
+        boolean hasTurn(Item item) {
+            return items.get(0) == item && (item.attempts > 0 || unacknowledged.isEmpty());
+        }
+
+        boolean unused(double now) {
+            return items.isEmpty() && unacknowledged.isEmpty() && quietUntil <= now;
+        }
     }
 
     /** A call out: one or more messages, one fate. */
@@ -906,7 +912,6 @@
 
     /** A destination: its targets, behind one gate or, where routes are apart, one gate each. */
     private static final class Destination {
-        final int id;
         final List<TargetState> targets = new ArrayList<>();
         final Gate shared; // where routes are not apart; outlives its targets, as waits and paces do
         final Bucket storm = new Bucket(); // what this sender may call there in a storm
@@ -915,8 +920,7 @@
         long shut; // the pass over the items in which none of its own can be sent any more
 
         Destination(int id) {
-            this.id = id;
-            shared = new Gate(this, null);
+            shared = new Gate(this, "destination=" + id);
         }
 
         double usual() {
@@ -988,9 +992,9 @@
         Item trial;
         TargetState trialTarget;
 
-        Gate(Destination destination, Target route) {
+        Gate(Destination destination, String name) {
             this.destination = destination;
-            name = "destination=" + destination.id + (route == null ? "" : " route=" + route.id());
+            this.name = name;
         }
 
         double silence() {
--- a/src/main/java/juniperusher/Protocol.java
+++ b/src/main/java/juniperusher/Protocol.java
@@ -73,8 +73,18 @@
         }
     }
 
-    /** A tenant and the messages a second, over all senders, that are within its share. */
-    public record Tenant(double quota) {}
+    /**
+     * A tenant.
+     *
+     * @param name  what tells it from the others; may be empty where nobody names it
+     * @param quota messages a second, over all senders, that are within its share
+     */
+    public record Tenant(String name, double quota) {
+        /** A tenant without a name. */
+        public Tenant(double quota) {
+            this("", quota);
+        }
+    }
 
     /** A kind of destination: messages a call carries at most; whether its targets are routes apart. */
     public record Kind(int batch, boolean apart) {
@@ -191,6 +201,8 @@
     /** Something that the sender is told. */
     public sealed interface Event
             permits TargetList,
+                    AnswerPending,
+                    AnswerAcknowledged,
                     ListFailed,
                     Arrived,
                     Ended,
@@ -246,6 +258,10 @@
      * @param attempts     attempts it has had already
      * @param ran          the first of them that may have run, or null if none may
      * @param again        it is marked as handed in again
+     * @param takenAt      by which the messages of one key stand in order, in the sender's own unit; 0 where
+     *                     they are told in their order
+     * @param acknowledged whether its answer, should it be refused or failed, is followed by an
+     *                     {@link AnswerAcknowledged}, for which later messages of its key have to wait
      */
     public record Message(
             int id,
@@ -256,7 +272,23 @@
             double timeLeft,
             int attempts,
             Ran ran,
-            boolean again) {
+            boolean again,
+            long takenAt,
+            boolean acknowledged) {
+        /** A message whose order is that of its arrival, and whose answer needs no acknowledgement. */
+        public Message(
+                int id,
+                int messageClass,
+                int tenant,
+                int destination,
+                long key,
+                double timeLeft,
+                int attempts,
+                Ran ran,
+                boolean again) {
+            this(id, messageClass, tenant, destination, key, timeLeft, attempts, ran, again, 0, false);
+        }
+
         /** A message that is not marked as handed in again. */
         public Message(int id, int messageClass, int tenant, int destination, long key, double timeLeft, int attempts) {
             this(id, messageClass, tenant, destination, key, timeLeft, attempts, null, false);
@@ -271,6 +303,12 @@
     /** The sender has taken a message. */
     public record Arrived(Message message) implements Event {}
 
+    /** No message of the key that has had no attempt is sent until the answer of this one is acknowledged. */
+    public record AnswerPending(int message, long key) implements Event {}
+
+    /** The answer of this message of the key is acknowledged, and no attempt of it is out any more. */
+    public record AnswerAcknowledged(int message, long key) implements Event {}
+
     /** How an attempt ended. */
     public enum Outcome {
         DELIVERED(false),
--- a/src/main/java/juniperusher/amqp/AmqpFront.java
+++ b/src/main/java/juniperusher/amqp/AmqpFront.java
@@ -62,6 +62,12 @@
         return !end.returnAddress().isEmpty();
     }
 
+    /** An end in its queue is told, whenever its client fetches it. */
+    @Override
+    public boolean overOnceAcknowledged() {
+        return false;
+    }
+
     @Override
     public void report(RpcEnd end, boolean again, Runnable acknowledged) {
         JsonObject address = Json.parse(end.returnAddress()).asObject();
--- a/src/main/java/juniperusher/core/Front.java
+++ b/src/main/java/juniperusher/core/Front.java
@@ -14,4 +14,12 @@
      * @param again an earlier process may have told it already
      */
     void report(RpcEnd end, boolean again, Runnable acknowledged);
+
+    /**
+     * Whether an end that is told counts for those behind it in its order only once it is acknowledged; else
+     * as soon as it is told.
+     */
+    default boolean overOnceAcknowledged() {
+        return true;
+    }
 }
--- a/src/main/java/juniperusher/core/Journal.java
+++ b/src/main/java/juniperusher/core/Journal.java
@@ -74,12 +74,21 @@
      * An RPC that is owed its end, or whose end is still to be told.
      *
      * @param className name of its class, whose place may differ in the settings of the next process
+     * @param takenAt   wall-clock time in microseconds at which it was taken on, 0 where a journal of an
+     *                  earlier version does not tell
      * @param ran       the first attempt that may have run, or null
      * @param out       the attempt that has no outcome yet, or null
      * @param end       its end, if it has one, else null
      */
     public record Owed(
-            int number, RpcRequest request, String className, int attempts, Attempt ran, Attempt out, RpcEnd end) {
+            int number,
+            RpcRequest request,
+            String className,
+            long takenAt,
+            int attempts,
+            Attempt ran,
+            Attempt out,
+            RpcEnd end) {
         /** Whether an attempt may have run; one without an outcome counts once the process has ended. */
         public boolean mayHaveRun() {
             return ran != null;
@@ -87,23 +96,24 @@
 
         /** What a restart has to assume of it. */
         Owed settled() {
-            return new Owed(number, request, className, attempts, ran == null ? out : ran, null, end);
+            return new Owed(number, request, className, takenAt, attempts, ran == null ? out : ran, null, end);
         }
 
         private Owed sent(Attempt attempt) {
-            return new Owed(number, request, className, attempts + 1, ran, attempt, null);
+            return new Owed(number, request, className, takenAt, attempts + 1, ran, attempt, null);
         }
 
         private Owed answered(boolean neverRan) {
-            return new Owed(number, request, className, attempts, ran == null && !neverRan ? out : ran, null, null);
+            return new Owed(
+                    number, request, className, takenAt, attempts, ran == null && !neverRan ? out : ran, null, null);
         }
 
         private Owed over(RpcEnd newEnd) {
-            return new Owed(number, request, className, attempts, ran, null, newEnd);
+            return new Owed(number, request, className, takenAt, attempts, ran, null, newEnd);
         }
 
         private Owed numbered(int newNumber) {
-            return new Owed(newNumber, request, className, attempts, ran, out, end);
+            return new Owed(newNumber, request, className, takenAt, attempts, ran, out, end);
         }
 
         private long size() {
@@ -114,7 +124,9 @@
                                     + request.front().length()
                                     + request.returnAddress().length()
                                     + className.length()
-                                    + request.idempotencyKey().length())
+                                    + request.idempotencyKey().length()
+                                    + request.orderKey().length()
+                                    + request.tenant().length())
                     + (end == null ? request.body().length : 0);
         }
     }
@@ -271,6 +283,12 @@
         }
     }
 
+    /** Wall-clock time in microseconds at which an RPC that is owed was taken on; 0 if that is not known. */
+    public synchronized long takenAt(int number) {
+        Owed entry = owed.get(number);
+        return entry == null ? 0 : entry.takenAt();
+    }
+
     /** Bytes in the folder. */
     public synchronized long bytes() {
         return used;
@@ -278,7 +296,7 @@
 
     /** Writes an RPC of that class down as taken on; its number, or -1 if there is no room for it. */
     public synchronized int taken(RpcRequest request, String className) {
-        Owed entry = new Owed(lastNumber + 1, request, className, 0, null, null, null);
+        Owed entry = new Owed(lastNumber + 1, request, className, nowMicros(), 0, null, null, null);
         long size = entry.size();
         if (used + live + 2 * size + reserve > limit) {
             compact();
@@ -293,6 +311,10 @@
         return entry.number();
     }
 
+    private static long nowMicros() {
+        return java.time.temporal.ChronoUnit.MICROS.between(java.time.Instant.EPOCH, java.time.Instant.now());
+    }
+
     /** An attempt is about to leave for an endpoint in that zone. */
     public synchronized Attempt attempt(int number, int zone) {
         Attempt attempt = new Attempt(System.currentTimeMillis(), zone);
@@ -398,6 +420,9 @@
             write(out, entry.ran());
             write(out, entry.out());
             out.writeUTF(request.idempotencyKey());
+            out.writeUTF(request.orderKey());
+            out.writeUTF(request.tenant());
+            out.writeLong(entry.takenAt());
         });
     }
 
@@ -473,6 +498,9 @@
             Attempt first = attempt(in);
             Attempt last = attempt(in);
             String key = in.available() > 0 ? in.readUTF() : "";
+            String orderKey = in.available() > 0 ? in.readUTF() : "";
+            String tenant = in.available() > 0 ? in.readUTF() : "";
+            long takenAt = in.available() > 0 ? in.readLong() : 0;
             owed.put(
                     number,
                     new Owed(
@@ -487,8 +515,11 @@
                                     head.once(),
                                     body,
                                     false,
-                                    key),
+                                    key,
+                                    orderKey,
+                                    tenant),
                             className,
+                            takenAt,
                             attempts,
                             ran ? first : null,
                             out ? last : null,
--- a/src/main/java/juniperusher/core/Relay.java
+++ b/src/main/java/juniperusher/core/Relay.java
@@ -14,6 +14,8 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import juniperusher.Control;
 import juniperusher.Protocol.Action;
+import juniperusher.Protocol.AnswerAcknowledged;
+import juniperusher.Protocol.AnswerPending;
 import juniperusher.Protocol.Arrived;
 import juniperusher.Protocol.Cancel;
 import juniperusher.Protocol.CloseIdle;
@@ -35,6 +37,7 @@
 import juniperusher.Protocol.Settings;
 import juniperusher.Protocol.Target;
 import juniperusher.Protocol.TargetList;
+import juniperusher.Protocol.Tenant;
 import juniperusher.Protocol.Withdrawn;
 import juniperusher.membership.Membership;
 import juniperusher.membership.Snapshot;
@@ -55,6 +58,7 @@
     private final Journal journal;
     private final Path state;
     private SharedWaits waits; // or null, where no other process can run beside this one
+    private final OrderHandover order;
     private final Counters counters;
     private final Subchannels subchannels;
     private final NoteSender notes;
@@ -95,6 +99,29 @@
             NoteSender notes,
             Companion companion)
             throws IOException {
+        this(
+                settings,
+                seed,
+                gap,
+                state,
+                new Journal(state, diskBytes, settings.allowed().held()),
+                counters,
+                subchannels,
+                notes,
+                companion);
+    }
+
+    /** The same with a journal that is open already. */
+    Relay(
+            Settings settings,
+            long seed,
+            double gap,
+            Path state,
+            Journal journal,
+            Counters counters,
+            Subchannels subchannels,
+            NoteSender notes,
+            Companion companion) {
         this.settings = settings;
         noteUnsafe(settings);
         this.counters = counters;
@@ -102,9 +129,10 @@
         this.notes = notes;
         this.companion = companion;
         timers.setRemoveOnCancelPolicy(true); // else each answered call's timer stays up to its time-out
-        journal = new Journal(state, diskBytes, settings.allowed().held());
+        this.journal = journal;
         this.state = state;
         loop = new DecisionLoop(new Control(settings, seed), companion, gap, this::carryOut);
+        order = new OrderHandover(new SuccessorMark(state), loop::post);
         counters.gauge("held", held::size);
         counters.gauge("journal_bytes", journal::bytes);
     }
@@ -125,6 +153,9 @@
     /** Starts deciding, and takes up again what an earlier process left owed. */
     public void start(Snapshot known) {
         resolved(known, Membership.whole(known));
+        if (journal.successor()) {
+            order.awaitOwner();
+        }
         for (Journal.Owed left : journal.recovered()) {
             recover(left);
         }
@@ -171,8 +202,11 @@
     private void followWaits() {
         Map<Integer, Long> told;
         try {
+            if (!journal.successor()) {
+                order.followSuccessor();
+            }
             told = waits.changed();
-        } catch (RuntimeException e) {
+        } catch (IOException | RuntimeException e) {
             LOG.atWarn().log("shared waits: {}", e.toString()); // a timer that throws would never run again
             return;
         }
@@ -203,20 +237,25 @@
             counters.add("taken_over_total", "result", "failed");
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
+        } finally {
+            order.ownerEnded();
         }
     }
 
     private void recover(Journal.Owed left) {
+        int place = place(left);
+        MessageClass kind = place < 0 ? null : settings.classes().get(place);
+        RpcRequest request = place < 0 ? left.request() : left.request().of(place);
+        Rpc rpc = new Rpc(left, request, kind, this);
         if (left.end() != null) {
-            tell(left.number(), left.request(), left.end(), true);
+            answerPending(rpc);
+            tell(rpc, left.end(), true);
             return;
         }
-        int place = place(left);
-        RpcRequest request = place < 0 ? left.request() : left.request().of(place);
-        Rpc rpc = new Rpc(left, request, place < 0 ? null : settings.classes().get(place), this);
         hold(rpc);
         if (left.mayHaveRun() && (place < 0 || unsafe(place))) {
             // Guards against a second effect: its attempt may have run, and nobody heard its outcome.
+            answerPending(rpc);
             end(rpc, new RpcEnd(request.id(), request.returnAddress(), RpcEnd.Kind.GIVEN_UP, 0));
         } else if (place < 0) {
             LOG.atWarn().addKeyValue("class", left.className()).log("handed back: its class is gone");
@@ -269,8 +308,16 @@
             refuse(request, channel, "held");
             return;
         }
-        int number;
         MessageClass kind = settings.classes().get(request.messageClass());
+        if (OrderKeys.of(request, kind) == 0) {
+            takeOn(request, kind, channel);
+            return;
+        }
+        order.inOrder(() -> takeOn(request, kind, channel));
+    }
+
+    private void takeOn(RpcRequest request, MessageClass kind, Channel channel) {
+        int number;
         try {
             number = journal.taken(request, kind.name());
         } catch (UncheckedIOException e) {
@@ -287,6 +334,7 @@
         held.put(number, rpc);
         heldIds.put(request.key(), rpc);
         channel.takenOn();
+        order.taken(number, rpc.orderKey());
         rpc.live();
     }
 
@@ -312,16 +360,30 @@
     void arrived(Rpc rpc, int attemptsUsed, Journal.Attempt ran) {
         RpcRequest request = rpc.request();
         // Guards the final answer's time: what waits for a round, while the core is busy, has less left.
+        long takenAt = rpc.orderKey() == 0 ? 0 : journal.takenAt(rpc.number());
         loop.postLate(() -> new Arrived(new Message(
                 rpc.number(),
                 request.messageClass(),
-                0,
+                tenant(request),
                 request.destination(),
-                0L,
+                rpc.orderKey(),
                 Math.max(0, rpc.timeLeft()),
                 attemptsUsed,
                 ran == null ? null : new Ran((System.currentTimeMillis() - ran.at()) / 1000.0, ran.zone()),
-                request.again() || companion != null && companion.comesAgain(rpc.number(), request))));
+                request.again() || companion != null && companion.comesAgain(rpc.number(), request),
+                takenAt,
+                true)));
+    }
+
+    /** The place of its tenant in the settings; the last, who has no share, for one that is not named there. */
+    private int tenant(RpcRequest request) {
+        List<Tenant> tenants = settings.tenants();
+        for (int place = 0; place < tenants.size(); place++) {
+            if (tenants.get(place).name().equals(request.tenant())) {
+                return place;
+            }
+        }
+        return Math.max(0, tenants.size() - 1);
     }
 
     // ---- what the module is told ----
@@ -361,6 +423,7 @@
 
     /** An RPC failed within this relay: the module is told that it is over, its attempt with it. */
     void abandon(Rpc rpc, int attempt, SharedCall out) {
+        answerPending(rpc);
         if (out != null) {
             loop.post(new Ended(rpc.number(), attempt, out.target().id(), Outcome.ERROR, out.elapsed(), true, 0, null));
         } else {
@@ -464,15 +527,37 @@
                 "" + request.messageClass(),
                 "end",
                 end.kind().name().toLowerCase(Locale.ROOT));
-        tell(rpc.number(), request, end, false);
+        order.over(rpc.number());
+        tell(rpc, end, false);
     }
 
-    private void tell(int number, RpcRequest request, RpcEnd end, boolean again) {
-        Front front = fronts.get(request.front());
+    /** Those behind it in its order wait for the acknowledgement of its end, of which the module knows not. */
+    private void answerPending(Rpc rpc) {
+        if (rpc.orderKey() != 0) {
+            loop.post(new AnswerPending(rpc.number(), rpc.orderKey()));
+        }
+    }
+
+    private void tell(Rpc rpc, RpcEnd end, boolean again) {
+        Front front = fronts.get(rpc.request().front());
         if (front == null || !front.tells(end)) {
-            journal.acknowledged(number);
+            acknowledged(rpc);
+        } else if (front.overOnceAcknowledged()) {
+            front.report(end, again, () -> acknowledged(rpc));
         } else {
-            front.report(end, again, () -> journal.acknowledged(number));
+            front.report(end, again, () -> journal.acknowledged(rpc.number()));
+            overInItsOrder(rpc);
+        }
+    }
+
+    private void acknowledged(Rpc rpc) {
+        journal.acknowledged(rpc.number());
+        overInItsOrder(rpc);
+    }
+
+    private void overInItsOrder(Rpc rpc) {
+        if (rpc.orderKey() != 0) {
+            rpc.afterLastCall(() -> loop.post(new AnswerAcknowledged(rpc.number(), rpc.orderKey())));
         }
     }
 
@@ -492,9 +577,9 @@
         return journal;
     }
 
-    /** How many RPCs are held. */
+    /** How many RPCs are held, but for those that the successor of an upgrade will send. */
     public int held() {
-        return held.size();
+        return held.size() - order.waiting();
     }
 
     /**
--- a/src/main/java/juniperusher/core/Rpc.java
+++ b/src/main/java/juniperusher/core/Rpc.java
@@ -19,10 +19,12 @@
     private final int number;
     private final RpcRequest request;
     private final MessageClass kind;
+    private final long orderKey;
     private final Relay relay;
     private volatile CompletableFuture<Object> choice = new CompletableFuture<>();
     private int attempts;
     private volatile SharedCall out;
+    private volatile SharedCall last; // the call of the last attempt, which may be out still, or null
     private volatile boolean over;
     private volatile Journal.Attempt ran; // the first attempt that may have run, or null
 
@@ -30,6 +32,7 @@
         this.number = number;
         this.request = request;
         this.kind = kind;
+        this.orderKey = OrderKeys.of(request, kind);
         this.relay = relay;
     }
 
@@ -56,6 +59,7 @@
                     if (made instanceof SharedCall call) {
                         int attempt = attempts++;
                         out = call;
+                        last = call;
                         Journal.Attempt sent =
                                 relay.journal().attempt(number, call.target().zone());
                         return call.join(this).thenAccept(result -> {
@@ -133,6 +137,21 @@
         return number;
     }
 
+    /** Key of its order as the module knows it, 0 for none. */
+    long orderKey() {
+        return orderKey;
+    }
+
+    /** Runs the action once no attempt of it is out any more. */
+    void afterLastCall(Runnable action) {
+        SharedCall call = last;
+        if (call == null) {
+            action.run();
+        } else {
+            call.afterCall(this, action);
+        }
+    }
+
     RpcRequest request() {
         return request;
     }
--- a/src/main/java/juniperusher/core/RpcRequest.java
+++ b/src/main/java/juniperusher/core/RpcRequest.java
@@ -13,6 +13,9 @@
  * @param body          the bytes passed on
  * @param again         its client marks it as handed in again; not known any more after a restart
  * @param idempotencyKey by which its destination knows repeats of it; passed on as it is, empty for none
+ * @param orderKey     messages of ordered classes with the same key are delivered one at a time, as taken;
+ *                     empty for none
+ * @param tenant       name of the tenant on whose behalf it comes, empty for none
  */
 public record RpcRequest(
         String id,
@@ -24,8 +27,10 @@
         boolean once,
         byte[] body,
         boolean again,
-        String idempotencyKey) {
-    /** An RPC without a key that is not marked as handed in again. */
+        String idempotencyKey,
+        String orderKey,
+        String tenant) {
+    /** An RPC without keys or a tenant that is not marked as handed in again. */
     public RpcRequest(
             String id,
             String front,
@@ -38,10 +43,36 @@
         this(id, front, messageClass, destination, deadline, returnAddress, once, body, false, "");
     }
 
+    /** An RPC without a key of its order or a tenant. */
+    public RpcRequest(
+            String id,
+            String front,
+            int messageClass,
+            int destination,
+            long deadline,
+            String returnAddress,
+            boolean once,
+            byte[] body,
+            boolean again,
+            String idempotencyKey) {
+        this(id, front, messageClass, destination, deadline, returnAddress, once, body, again, idempotencyKey, "", "");
+    }
+
     /** The same, of the class in that place of the settings. */
     RpcRequest of(int place) {
         return new RpcRequest(
-                id, front, place, destination, deadline, returnAddress, once, body, again, idempotencyKey);
+                id,
+                front,
+                place,
+                destination,
+                deadline,
+                returnAddress,
+                once,
+                body,
+                again,
+                idempotencyKey,
+                orderKey,
+                tenant);
     }
 
     /** What tells it from every other RPC held. */
--- a/src/main/java/juniperusher/core/SharedCall.java
+++ b/src/main/java/juniperusher/core/SharedCall.java
@@ -34,6 +34,7 @@
     private static final class Member {
         final Rpc rpc;
         final CompletableFuture<CallResult> result = new CompletableFuture<>();
+        final CompletableFuture<Void> callEnded = new CompletableFuture<>(); // may be later than the result
         boolean joined;
         boolean calledOff;
 
@@ -102,6 +103,19 @@
         }
     }
 
+    /**
+     * Runs the action once the RPC is in no call that is out: at once where it has left, else at the end of
+     * the call, which may come after the RPC's own time-out.
+     */
+    void afterCall(Rpc rpc, Runnable action) {
+        members.stream()
+                .filter(member -> member.rpc == rpc)
+                .findFirst()
+                .map(member -> member.callEnded)
+                .orElse(CompletableFuture.completedFuture(null))
+                .thenRun(action);
+    }
+
     private void start() {
         Subchannels.Call started;
         try {
@@ -113,11 +127,13 @@
                     (place, result) -> {
                         heard.accept(result);
                         members.get(place).result.complete(result);
+                        members.get(place).callEnded.complete(null);
                     });
         } catch (RuntimeException e) {
             // Guards those that joined earlier: only the last one's chain would hear of it. It may have run.
             LOG.atError().setCause(e).addKeyValue("endpoint", target.id()).log("a call failed at its start");
             members.forEach(member -> member.result.complete(CallResult.of(CallEnd.BROKEN)));
+            members.forEach(member -> member.callEnded.complete(null));
             return;
         }
         boolean off;
--- a/src/main/java/juniperusher/http/PlatformFront.java
+++ b/src/main/java/juniperusher/http/PlatformFront.java
@@ -16,6 +16,8 @@
 import juniperusher.net.HttpServerConnection;
 import juniperusher.net.HttpServerConnection.Responder;
 import juniperusher.net.Network;
+import org.eclipse.jetty.util.MultiMap;
+import org.eclipse.jetty.util.UrlEncoded;
 
 /**
  * The platform's front: channels hand RPCs in over HTTP/1.1, ends that are not deliveries go out as notices.
@@ -23,7 +25,10 @@
 final class PlatformFront implements Front, HttpServerConnection.Handler {
     /** By which an endpoint knows repeats, see draft-ietf-httpapi-idempotency-key. */
     static final String IDEMPOTENCY_KEY = "Idempotency-Key";
+    /** The query parameter that holds the key of a message's order. */
+    private static final String ORDER_KEY = "subject";
 
+    private static final String TENANT = "X-Caller";
     private static final Pattern PATH = Pattern.compile("(?:https?://[^/]*)?/([^/?]*)");
     private static final Pattern PARTS = Pattern.compile("[,;]");
     private static final Pattern NUMBER = Pattern.compile("\\d{1,9}");
@@ -154,7 +159,30 @@
                 false,
                 request.body(),
                 request.get("X-Again") != null,
-                request.get(IDEMPOTENCY_KEY) == null ? "" : request.get(IDEMPOTENCY_KEY));
+                text(request, IDEMPOTENCY_KEY),
+                orderKey(request.path()),
+                text(request, TENANT));
+    }
+
+    private static String text(HttpMessage request, String field) {
+        String value = request.get(field);
+        return value == null ? "" : value;
+    }
+
+    /** The key of the message's order, by the path's query; empty for none. */
+    private static String orderKey(String path) {
+        int query = path.indexOf('?');
+        if (query < 0) {
+            return "";
+        }
+        MultiMap<String> parameters = new MultiMap<>();
+        try {
+            UrlEncoded.decodeUtf8To(path.substring(query + 1), parameters);
+        } catch (RuntimeException e) {
+            throw new IllegalArgumentException("the path's query cannot be read", e);
+        }
+        String key = parameters.getValue(ORDER_KEY);
+        return key == null ? "" : key;
     }
 
     private static int destination(String envelope) {
--- a/src/main/java/juniperusher/sim/SettingsParser.java
+++ b/src/main/java/juniperusher/sim/SettingsParser.java
@@ -134,7 +134,11 @@
     private List<Tenant> tenants() {
         List<Tenant> out = new ArrayList<>();
         for (int i = 0; i < number("tenants.count", 0); i++) {
-            out.add(new Tenant(number("tenants." + i + ".quotaPerS", 0)));
+            String tenant = "tenants." + i + ".";
+            out.add(new Tenant(values.getOrDefault(tenant + "name", ""), number(tenant + "quotaPerS", 0)));
+        }
+        if (!out.isEmpty()) {
+            out.add(new Tenant("", 0)); // whoever is not named has no share: all that it sends is beyond it
         }
         return out;
     }
--- a/src/test/java/juniperusher/http/ForeignNamesTest.java
+++ b/src/test/java/juniperusher/http/ForeignNamesTest.java
@@ -60,6 +60,7 @@
                             .set("effect", EFFECTS.get(i))
                             .set("group", "all")
                             .set("keyTtlS", 1.0)
+                            .set("sequential", true)
                             .set("objectiveS", 2.0)
                             .set("deadlineS", 9.0));
         }
@@ -123,6 +124,41 @@
         }
     }
 
+    private static String handIn(String client, String id, String query, String answer) {
+        return client + "> POST /recibo" + query + " HTTP/1.1\\r\\nHost: a\\r\\nX-Call-Id: " + id
+                + "\\r\\nX-Call-Class: recibo\\r\\nX-Caller: agencia\\r\\nX-Budget: 9000m\\r\\n"
+                + "Content-Length: 2\\r\\nX-Envelope: dest=7\\r\\n\\r\\nab\n"
+                + client + "< HTTP/1.1 " + answer + "\n";
+    }
+
+    private static String called(String id) {
+        return "endpoint1< POST /receive HTTP/1.1\\r\\nHost: endpoint\\r\\nX-Call-Id: " + id
+                + "\\r\\nX-Budget: {*}m\\r\\nContent-Length: 2\\r\\n\\r\\nab\n";
+    }
+
+    @Test
+    public void messagesOfOneSubjectGoOneAtATimeAndASubjectThatCannotBeReadIsRefused() throws Exception {
+        String accepted = "202 Accepted\\r\\nContent-Length: 0\\r\\n\\r\\n";
+        Platform platform = new Platform(config, folder.resolve("state"), new Counters(), network, null);
+        try {
+            // The second one's call would come on a connection of its own if it did not wait for the first.
+            play(handIn("client1", "m1", "?subject=a%2Fb%20c", accepted)
+                    + called("m1")
+                    + handIn("client2", "m2", "?other=1&subject=a/b+c", accepted)
+                    + "endpoint1> HTTP/1.1 200 OK\\r\\nContent-Length: 0\\r\\n\\r\\n\n"
+                    + called("m2")
+                    + "endpoint1> HTTP/1.1 200 OK\\r\\nContent-Length: 0\\r\\n\\r\\n\n"
+                    + handIn(
+                            "client1",
+                            "m3",
+                            "?subject=%zz",
+                            "400 Bad Request\\r\\nContent-Length: 32\\r\\n\\r\\n"
+                                    + "the path's query cannot be read\\n"));
+        } finally {
+            platform.close();
+        }
+    }
+
     private static RpcRequest keyed(String id, String key) {
         return new RpcRequest(
                 id, "http", 1, 7, System.currentTimeMillis() + 9_000, "", false, new byte[] {'a'}, false, key);
