The checker of rules knows the order of keys, over restarts and notices too

Need: the laboratory checked nothing of classes in order, so that a relay which ignores keys looked sound there.

RuleChecker takes messages with a key: those of one key at one relay may have their first attempt once all before them are over and have no attempt out, and once the key has rested for keyQuiet after a time-out, reset, cancel or the death of the process. A message that ends by a notice is over once the notice is acknowledged. A message's own further attempts are free, final answers may come out of turn. A break names both messages. Both engines say which attempts ended without an answer; the one on sockets tells of each notice that it has acknowledged.

--- a/src/main/java/juniperusher/lab/RuleChecker.java
+++ b/src/main/java/juniperusher/lab/RuleChecker.java
@@ -10,25 +10,33 @@
 import java.util.Set;
 
 /**
- * Checks the rules on what an engine saw of each message: one final answer in time, never two attempts out,
- * nothing
- * that may have run twice, no told wait cut short. Free of I/O and of the engine; not safe for threads.
+ * Checks the rules on what an engine saw of each message: one final answer in time, never two attempts out, nothing
+ * that may have run twice, no told wait cut short, messages of one key one at a time and in order. Free of I/O and of
+ * the engine; not safe for threads.
  */
 public final class RuleChecker {
     private static final int MOST = 20; // breaks that are told in full
 
     private final double lateAnswer; // s by which a final answer may be late
     private final double lateWait; // s after a told wait's beginning in which calls are let through
+    private final KeyOrder order;
     private final Map<Object, Life> lives = new LinkedHashMap<>(); // those without a final answer
     private final Set<Object> withdrawn = new HashSet<>();
     private final Map<List<Integer>, double[]> waits = new HashMap<>(); // relay and destination: from, until
     private final List<String> broken = new ArrayList<>();
     private int count;
 
-    /** A checker that allows an engine so much for what it cannot see at once. */
-    public RuleChecker(double lateAnswer, double lateWait) {
+    /**
+     * A checker that allows an engine so much for what it cannot see at once.
+     *
+     * @param lateAnswer s by which a final answer may be late
+     * @param lateWait   s after a told wait's beginning in which calls are let through
+     * @param keyQuiet   s for which a key rests after an attempt that ended without an answer
+     */
+    public RuleChecker(double lateAnswer, double lateWait, double keyQuiet) {
         this.lateAnswer = lateAnswer;
         this.lateWait = lateWait;
+        order = new KeyOrder(keyQuiet);
     }
 
     /** What is known of a message that a relay has taken. */
@@ -50,8 +58,15 @@
         lives.put(id, new Life(unsafe, until));
     }
 
+    /** A relay has taken a message of a class in order, after all that it took before it with the same key. */
+    public void taken(Object id, boolean unsafe, double until, int relay, String key) {
+        taken(id, unsafe, until);
+        order.taken(relay, key, id);
+    }
+
     /** Its client has turned away: nothing that is done under this id counts any more. */
     public void withdrawn(Object id) {
+        order.withdrawn(id);
         lives.remove(id);
         withdrawn.add(id);
     }
@@ -72,11 +87,23 @@
         if (life.mayHaveRun && life.unsafe) {
             broken(now, id, "is sent again though it may have run");
         }
+        order.begun(id, now).ifPresent(how -> broken(now, id, how));
         life.out++;
     }
 
-    /** An attempt is no longer out. */
+    /** An attempt was answered, or never reached its destination. */
     public void ended(Object id, boolean mayHaveRun) {
+        order.ended(id);
+        notOut(id, mayHaveRun);
+    }
+
+    /** An attempt ended without an answer (a time-out, reset or cancel): it may still run, and its key rests. */
+    public void abandoned(Object id, double now, boolean mayHaveRun) {
+        order.abandoned(id, now);
+        notOut(id, mayHaveRun);
+    }
+
+    private void notOut(Object id, boolean mayHaveRun) {
         Life life = lives.get(id);
         if (life != null) {
             life.out = Math.max(0, life.out - 1);
@@ -98,8 +125,14 @@
         }
     }
 
-    /** It is delivered, or its final answer is given: {@code handedBack} for one that may come again. */
+    /** It is delivered, or its final answer is given and heard: {@code handedBack} for one that may come again. */
     public void answered(Object id, double now, boolean handedBack) {
+        noticed(id, now, handedBack);
+        acknowledged(id);
+    }
+
+    /** Its final answer is given by a notice; in the order of its key it is over once that is acknowledged. */
+    public void noticed(Object id, double now, boolean handedBack) {
         Life life = lives.remove(id);
         if (life == null) {
             broken(now, id, "is answered twice, or was never taken");
@@ -110,6 +143,11 @@
         }
     }
 
+    /** The notice of a message's end is acknowledged. */
+    public void acknowledged(Object id) {
+        order.over(id);
+    }
+
     /** Whether it still has no final answer. */
     public boolean open(Object id) {
         return lives.containsKey(id);
@@ -127,8 +165,9 @@
         }
     }
 
-    /** A relay's wait has ended with the relay. */
-    public void restarted(int relay) {
+    /** A relay's process has died: its waits have ended with it, and its attempts have no answer any more. */
+    public void restarted(int relay, double now) {
+        order.restarted(relay, now);
         waits.keySet().removeIf(key -> key.get(0) == relay);
     }
 
--- a/src/main/java/juniperusher/lab/VirtualEngine.java
+++ b/src/main/java/juniperusher/lab/VirtualEngine.java
@@ -42,6 +42,7 @@
     private static final double NEAR = 0.015; // s, the least way to a destination, and
     private static final double FAR = 0.045; // the longest
     private static final double GRACE = 0.05; // s by which a final answer may be late
+    private static final double ROUNDING = 1e-9; // s by which sums of times may differ
     private static final double PROBE = 1.5; // s after which an unanswered probe has failed
     private static final double FULL = 0.5; // s that a relay without room tells
     // kinds of random numbers of a destination, after those of NOTES and RELAYS
@@ -56,7 +57,7 @@
     private final List<DestinationModel> destinations = new ArrayList<>();
     private final List<Relay> relays = new ArrayList<>();
     private final PriorityQueue<Timed> queue = new PriorityQueue<>();
-    private final RuleChecker rules = new RuleChecker(GRACE, -1e-9);
+    private final RuleChecker rules;
     private final Tally tally;
     private double now;
     private long sequence;
@@ -94,6 +95,7 @@
     private VirtualEngine(Plan plan) {
         this.plan = plan;
         settings = LabSettings.of(plan);
+        rules = new RuleChecker(GRACE, -ROUNDING, settings.rules().keyQuiet() - ROUNDING);
         tally = new Tally(plan, settings.classes());
         notes = plan.noteModel();
         seeds = plan.seeds();
@@ -251,7 +253,7 @@
         void die(double down) {
             away = true;
             life++;
-            rules.restarted(number);
+            rules.restarted(number, now);
             taken.keySet().forEach(id -> rules.died(id, now + down));
             at(now + down, () -> {
                 away = false;
@@ -396,7 +398,11 @@
             }
             message.out = false;
             message.mayHaveRun |= !outcome.neverRan();
-            rules.ended(message.id, !outcome.neverRan());
+            if (outcome.mayStillRun()) {
+                rules.abandoned(message.id, now, true);
+            } else {
+                rules.ended(message.id, !outcome.neverRan());
+            }
             if (told > 0) {
                 rules.told(number, message.wish.destination, now, now + told);
             }
@@ -413,7 +419,7 @@
             if (message != null && message.out && message.attempts - 1 == cancel.attempt()) {
                 message.mayHaveRun = true;
                 message.out = false;
-                rules.ended(message.id, true);
+                rules.abandoned(message.id, now, true);
                 post(new Ended(
                         message.id,
                         cancel.attempt(),
--- a/src/main/java/juniperusher/lab/sockets/Emulation.java
+++ b/src/main/java/juniperusher/lab/sockets/Emulation.java
@@ -54,11 +54,17 @@
         /** A call was refused by the destination. */
         void refused(int relay, int destination, String id, double told);
 
+        /** A relay has given a call up, or has died: no answer was written. */
+        void abandoned(String id, boolean mayHaveRun);
+
         /** A call is over: delivered, or not, and then it may have run or has not. */
         void ended(int destination, String id, boolean delivered, boolean mayHaveRun);
 
         /** A notice of the relay: the message has ended undelivered, and may come again or not. */
         void notice(int relay, String id, boolean handedBack, double after);
+
+        /** The answer to a message's notice is written. */
+        void acknowledged(String id);
     }
 
     Emulation(
@@ -208,11 +214,7 @@
                         call.answer.cancel(false);
                     }
                     if (call.id != null) {
-                        watcher.ended(
-                                destination,
-                                call.id,
-                                false,
-                                !call.brings.outcome().neverRan());
+                        watcher.abandoned(call.id, !call.brings.outcome().neverRan());
                     }
                 }
             });
@@ -228,8 +230,9 @@
         public void asked(PeerConnection connection, HttpMessage request) {
             lab.execute(() -> {
                 if (request.path().startsWith("/status")) {
-                    notices(request.text());
+                    List<String> ended = notices(request.text());
                     connection.answer(HttpMessage.response(204, ""));
+                    ended.forEach(watcher::acknowledged);
                 } else if (request.path().contains("stream=1")) {
                     connection.stream("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
                     watches.put(
@@ -244,19 +247,23 @@
             });
         }
 
-        private void notices(String lines) {
+        private List<String> notices(String lines) {
+            List<String> ended = new ArrayList<>();
             for (String line : lines.split("\n")) {
                 try {
                     JsonObject notice = Json.parse(line).asObject();
+                    String id = notice.getString("message", "");
+                    ended.add(id);
                     watcher.notice(
                             relay,
-                            notice.getString("message", ""),
+                            id,
                             notice.getString("outcome", "").equals("handed_back"),
                             notice.getDouble("retry_in_ms", 0) / 1000);
                 } catch (ParseException | UnsupportedOperationException e) {
                     throw new IllegalStateException("a relay's notice cannot be read: " + line, e);
                 }
             }
+            return ended;
         }
 
         @Override
--- a/src/main/java/juniperusher/lab/sockets/SocketEngine.java
+++ b/src/main/java/juniperusher/lab/sockets/SocketEngine.java
@@ -39,6 +39,7 @@
 public final class SocketEngine implements Emulation.Watcher {
     private static final double LATE_ANSWER = 0.35; // s: the protocol's 300 ms, and 50 for sockets
     private static final double LATE_WAIT = 0.1; // s after a told wait in which calls are let through
+    private static final double SLACK = 0.05; // s by which an engine on sockets sees an end later than its relay
     private static final double START = 5; // s in which a relay has to be up again, and 1.5 s for its notices
     private static final int DESCRIPTORS = 8192;
     private static final int CLIENT_CONNECTIONS = 2000;
@@ -50,7 +51,7 @@
     private final Network network;
     private final Client client;
     private final Tally tally;
-    private final RuleChecker rules = new RuleChecker(LATE_ANSWER, LATE_WAIT);
+    private final RuleChecker rules;
     private final List<DestinationModel> models = new ArrayList<>();
     private final List<ClientModel> clients = new ArrayList<>();
     private final List<Emulation> emulations = new ArrayList<>();
@@ -86,6 +87,8 @@
         network = new Network(1, DESCRIPTORS);
         client = new Client(network, CLIENT_CONNECTIONS);
         tally = new Tally(plan, List.of(LabSettings.NOTICE, LabSettings.ORDER));
+        rules = new RuleChecker(
+                LATE_ANSWER, LATE_WAIT, LabSettings.of(plan).rules().keyQuiet() - SLACK);
         for (int i = 0; i < plan.destinations().size(); i++) {
             models.add(plan.model(i));
             clients.add(plan.clients(i));
@@ -277,7 +280,7 @@
     private void crash(Crash crash) {
         RelayProcess relay = relays.get(crash.relay());
         relay.kill();
-        rules.restarted(crash.relay());
+        rules.restarted(crash.relay(), now());
         wishes.forEach((id, wish) -> {
             if (wish.at == crash.relay()) {
                 rules.died(id, now() + crash.down() + START);
@@ -389,6 +392,11 @@
         }
     }
 
+    @Override
+    public void abandoned(String id, boolean mayHaveRun) {
+        rules.abandoned(id, now(), mayHaveRun);
+    }
+
     @Override
     public void ended(int destination, String id, boolean done, boolean mayHaveRun) {
         rules.ended(id, mayHaveRun);
@@ -409,9 +417,14 @@
         if (wish == null) {
             return; // over, withdrawn, or told before: a notice goes again until it is acknowledged
         }
-        rules.answered(id, now(), handedBack);
+        rules.noticed(id, now(), handedBack);
         if (handedBack) {
             refused(wish, after);
         }
     }
+
+    @Override
+    public void acknowledged(String id) {
+        rules.acknowledged(id);
+    }
 }
