The laboratory plays classes in order and tenants; what order costs, who keeps a share

An experiment may have a class in order (sequenced: share, effect, share with keys, gap and life of a key) and tenants (share, usage). Demand draws what clients ask for, in one place for both engines, from random streams of its own, so that it is the same in variants that tell the relays of keys or shares and in those that do not. An expectation on a figure that a plan does not have is one line.

--- a/src/main/java/juniperusher/lab/Experiment.java
+++ b/src/main/java/juniperusher/lab/Experiment.java
@@ -90,9 +90,17 @@
                         + String.join(", ", plans.keySet()));
             }
         }
+        String figure = one.getString("figure", "");
+        for (String name : named) {
+            if (!plans.get(name).get(0).hasFigure(figure)) {
+                throw new IllegalArgumentException("expect: '" + figure + "' is no figure of variant '" + name
+                        + "'; expected sequenced.share above 0 for those of the class in order, tenants for those"
+                        + " of shares");
+            }
+        }
         Double times = number(one, "at_most_times");
         Expectation out = new Expectation(
-                one.getString("figure", ""),
+                figure,
                 of,
                 one.getString("over", "mean"),
                 against,
--- a/src/main/java/juniperusher/lab/LabSettings.java
+++ b/src/main/java/juniperusher/lab/LabSettings.java
@@ -9,6 +9,7 @@
 import juniperusher.Protocol.MessageClass;
 import juniperusher.Protocol.Rules;
 import juniperusher.Protocol.Settings;
+import juniperusher.Protocol.Tenant;
 import juniperusher.Protocol.Weight;
 
 /** What the relays of a plan are told at their start: for the module, and as a configuration file. */
@@ -19,8 +20,15 @@
     /** An order: once it may have run it is never sent again. */
     public static final MessageClass ORDER =
             new MessageClass("ordem-build", Effect.UNSAFE, false, 5, false, 4, 20, 3, 0.5);
-    /** The names of the classes, notices first. */
-    public static final List<String> NAMES = List.of("aviso-push", "ordem-build");
+    /** The names of the classes that every plan has, notices first. */
+    public static final List<String> NAMES = List.of(NOTICE.name(), ORDER.name());
+
+    /** Place of {@link #NOTICE} in the settings. */
+    public static final int REPEATABLE = 0;
+    /** Place of {@link #ORDER}. */
+    public static final int UNREPEATABLE = 1;
+    /** Place of the class in order, in plans that have one. */
+    public static final int SEQUENCED = 2;
 
     private static final double ANSWER = 0.3; // s, a usual answer with its way
     private static final int LEAST = 12; // messages held
@@ -30,6 +38,33 @@
 
     private LabSettings() {}
 
+    /** The classes of a plan's messages. */
+    public static List<MessageClass> classes(Plan plan) {
+        if (plan.sequenced().share() == 0) {
+            return List.of(NOTICE, ORDER);
+        }
+        Effect effect = plan.sequenced().unsafe() ? Effect.UNSAFE : Effect.SAFE;
+        boolean ordered = plan.relays().keys();
+        return List.of(NOTICE, ORDER, new MessageClass("etapa-registo", effect, false, 5, ordered, 2, 16, 1, 0.3));
+    }
+
+    /** The longest time in which any message may be delivered. */
+    public static double longestDeadline(Plan plan) {
+        return classes(plan).stream().mapToDouble(MessageClass::deadline).max().orElseThrow();
+    }
+
+    private static boolean tenantsTold(Plan plan) {
+        return plan.relays().tenants() && !plan.tenants().isEmpty();
+    }
+
+    private static List<Tenant> tenants(Plan plan) {
+        return tenantsTold(plan)
+                ? plan.tenants().stream()
+                        .map(one -> new Tenant(plan.quota(one)))
+                        .toList()
+                : List.of();
+    }
+
     private static int held(Plan plan) {
         return (int) Math.max(LEAST, plan.relays().held() * part(plan));
     }
@@ -50,16 +85,16 @@
                 0,
                 false,
                 Weight.NOMINAL,
-                1,
+                tenantsTold(plan) ? plan.relays().overShareWorth() : 1,
                 true,
                 0,
                 List.of(0.0),
                 new Rules(0.5, 0.14, 13, 2.5, DestinationModel.WINDOW, 0.5, 10),
                 new Allowed(
                         ATTEMPTS, held(plan), calls(plan), true, false, true, true, true, MOST_RETURN, 1, KEEP_ALIVE),
-                List.of(NOTICE, ORDER),
+                classes(plan),
                 List.of(new Kind(1, false)),
-                List.of());
+                tenants(plan));
     }
 
     /**
@@ -74,16 +109,24 @@
         JsonArray classes = new JsonArray();
         for (MessageClass kind : settings.classes()) {
             classes.add(new JsonObject()
-                    .add("name", NAMES.get(classes.size()))
+                    .add("name", kind.name())
                     .add("deadlineS", kind.deadline())
                     .add("objectiveS", kind.aim())
                     .add("worth", kind.worth())
                     .add("lateValue", kind.lateShare())
                     .add("keyTtlS", kind.keyWindow())
                     .add("group", "all")
+                    .add("sequential", kind.ordered())
                     .add("streamed", false)
                     .add("effect", kind.effect() == Effect.SAFE ? "idempotent" : "at_most_once"));
         }
+        JsonArray tenants = new JsonArray();
+        for (int i = 0; i < settings.tenants().size(); i++) {
+            tenants.add(new JsonObject()
+                    .add("name", plan.tenants().get(i).name())
+                    .add("share", plan.tenants().get(i).share())
+                    .add("quotaPerS", settings.tenants().get(i).quota()));
+        }
         return new JsonObject()
                 .add(
                         "allowed",
@@ -133,7 +176,7 @@
                 .add("peersTotal", settings.senders())
                 .add("quantumS", 0.005)
                 .add("requestClasses", classes)
-                .add("tenants", new JsonArray())
+                .add("tenants", tenants)
                 .add("weightSource", "nominal");
     }
 }
--- a/src/main/java/juniperusher/lab/Plan.java
+++ b/src/main/java/juniperusher/lab/Plan.java
@@ -24,20 +24,35 @@
         Relays relays,
         Notes notes,
         Clients clients,
+        Sequenced sequenced,
+        List<Tenant> tenants,
         List<Destination> destinations,
         List<Crash> crashes) {
     private static final int EACH = 4; // kinds of random numbers of a destination, after the common ones:
     private static final int NOTES = 0;
     private static final int RELAYS = 1;
+    private static final int KEYS = 2;
+    private static final int TRAITS = -1; // and below, one for each destination
+    private static final double SHARES_ROUNDING = 0.01;
 
     /**
      * The relays.
      *
-     * @param storm whether the storm package is on
-     * @param held  s of its share of the whole rate that a relay may hold
-     * @param calls calls out at once, over its share of what usual answer times need
+     * @param storm          whether the storm package is on
+     * @param held           s of its share of the whole rate that a relay may hold
+     * @param calls          calls out at once, over its share of what usual answer times need
+     * @param keys           whether relays are told of keys; without, what they do breaks the order
+     * @param tenants        whether relays are told of tenants and their shares
+     * @param overShareWorth part of its worth that a message keeps beyond its tenant's share
      */
-    public record Relays(int count, boolean storm, double held, double calls) {}
+    public record Relays(
+            int count,
+            boolean storm,
+            double held,
+            double calls,
+            boolean keys,
+            boolean tenants,
+            double overShareWorth) {}
 
     /** The network of the notes: shares of notes, and seconds. */
     public record Notes(double lost, double doubled, double late, double lateBy) {}
@@ -45,6 +60,30 @@
     /** The clients' habits. */
     public record Clients(double load, double orders, int returns, double heed) {}
 
+    /**
+     * The class in order.
+     *
+     * @param share  of all messages, before what is drawn of the other classes
+     * @param unsafe whether what may have run may never be repeated
+     * @param keyed  share of its messages that carry their key
+     * @param gap    mean s between two messages of a key
+     * @param life   mean s for which a key is used
+     */
+    public record Sequenced(double share, boolean unsafe, double keyed, double gap, double life) {}
+
+    /**
+     * A tenant.
+     *
+     * @param share of the load that is its own; all shares add up to 1
+     * @param usage how much of its share it asks for
+     */
+    public record Tenant(String name, double share, double usage) {
+        /** What it asks for, over the load. */
+        public double traffic() {
+            return share * usage;
+        }
+    }
+
     /**
      * A destination.
      *
@@ -91,8 +130,14 @@
     public record Crash(int relay, double at, double down) {}
 
     public Plan {
+        tenants = List.copyOf(tenants);
         destinations = List.copyOf(destinations);
         crashes = List.copyOf(crashes);
+        double shares = tenants.stream().mapToDouble(Tenant::share).sum();
+        if (!tenants.isEmpty() && Math.abs(shares - 1) > SHARES_ROUNDING) {
+            throw new IllegalArgumentException(
+                    String.format(Locale.ROOT, "tenants: their shares add up to %.3f; expected 1", shares));
+        }
         for (Crash crash : crashes) {
             if (crash.relay() >= relays.count()) {
                 throw new IllegalArgumentException("crashes: relay " + crash.relay() + " of " + relays.count()
@@ -117,6 +162,7 @@
         JsonObject relays = file.get("relays").asObject();
         JsonObject notes = file.get("notes").asObject();
         JsonObject clients = file.get("clients").asObject();
+        JsonObject sequenced = file.get("sequenced").asObject();
         Clients habits = new Clients(
                 number(clients, "load"),
                 number(clients, "orders"),
@@ -130,13 +176,26 @@
                         relays.getInt("count", 0),
                         relays.getBoolean("storm", true),
                         number(relays, "held"),
-                        number(relays, "calls")),
+                        number(relays, "calls"),
+                        relays.getBoolean("keys", true),
+                        relays.getBoolean("tenants", true),
+                        number(relays, "over_share_worth")),
                 new Notes(
                         number(notes, "lost"),
                         number(notes, "doubled"),
                         number(notes, "late"),
                         number(notes, "late_by")),
                 habits,
+                new Sequenced(
+                        number(sequenced, "share"),
+                        sequenced.getString("effect", "").equals("unsafe"),
+                        number(sequenced, "keyed"),
+                        number(sequenced, "gap"),
+                        number(sequenced, "life")),
+                all(
+                        file,
+                        "tenants",
+                        one -> new Tenant(one.getString("name", ""), number(one, "share"), number(one, "usage"))),
                 all(file, "destinations", one -> destination(one, habits.load())),
                 all(file, "crashes", one -> new Crash(one.getInt("relay", 0), number(one, "at"), number(one, "down"))));
     }
@@ -185,6 +244,37 @@
                 .orElse(0);
     }
 
+    /** Whether its runs have a figure: those of the class in order and of tenants are of plans that have them. */
+    boolean hasFigure(String figure) {
+        return switch (figure) {
+            case "p50_sequenced", "p99_sequenced" -> sequenced.share() > 0;
+            case "worth_within_share", "worth_beyond_share", "worth_weakest_tenant" -> !tenants.isEmpty();
+            default -> true;
+        };
+    }
+
+    /** What all tenants ask for, over the load: 1 without tenants. */
+    public double usage() {
+        return tenants.isEmpty()
+                ? 1
+                : tenants.stream().mapToDouble(Tenant::traffic).sum();
+    }
+
+    /** Messages a second that are asked for of a destination. */
+    public double asked(int destination) {
+        return destinations.get(destination).rate()
+                * destinations.get(destination).load()
+                * usage();
+    }
+
+    /** Messages a second over all relays that are within a tenant's share. */
+    public double quota(Tenant tenant) {
+        return tenant.share()
+                * destinations.stream()
+                        .mapToDouble(one -> one.rate() * one.load())
+                        .sum();
+    }
+
     /** The model of a destination, by its place; the same in both engines. */
     public DestinationModel model(int destination) {
         return new DestinationModel(destinations.get(destination), random((destination + 1) * EACH));
@@ -200,6 +290,20 @@
         return new NoteModel(notes, random(NOTES));
     }
 
+    /** The model of the keys that clients use. */
+    KeyModel keyModel() {
+        double all = 0;
+        for (int i = 0; i < destinations.size(); i++) {
+            all += asked(i);
+        }
+        return new KeyModel(all * sequenced.share(), sequenced.gap(), sequenced.life(), relays.count(), random(KEYS));
+    }
+
+    /** Random numbers for the tenants, classes in order and keys of a destination's messages. */
+    UniformRandomProvider traits(int destination) {
+        return random(TRAITS - destination);
+    }
+
     /** Random numbers for the ways to a destination; to one beyond the last: of probes. */
     UniformRandomProvider ways(int destination) {
         return random((destination + 1) * EACH + 3);
--- a/src/main/java/juniperusher/lab/sockets/Client.java
+++ b/src/main/java/juniperusher/lab/sockets/Client.java
@@ -1,6 +1,8 @@
 package juniperusher.lab.sockets;
 
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 import juniperusher.core.CallEnd;
 import juniperusher.net.HttpMessage;
@@ -31,34 +33,54 @@
         pool = new HttpPool(network, 1.5, connections); // s, below a relay's idle time of 2 s
     }
 
-    /** Hands a message in; the listener is called once, by any thread. */
-    void handIn(
-            InetSocketAddress relay,
+    /**
+     * A message as a client hands it in.
+     *
+     * @param subject the key of its order, or null
+     * @param caller  the name of its tenant, or null
+     * @param budget  s in which it may be delivered
+     * @param again   whether it is marked as handed in again
+     */
+    record Message(
             String id,
             String messageClass,
+            String subject,
+            String caller,
             int destination,
             double budget,
             boolean again,
-            byte[] body,
-            Answered listener) {
-        String[] fields = {
-            "Host",
-            "relay",
-            "X-Call-Id",
-            id,
-            "X-Call-Class",
-            messageClass,
-            "X-Budget",
-            Math.max(1, Math.round(budget * 1000)) + "m",
-            "X-Envelope",
-            "dest=" + destination,
-            "X-Again",
-            "1"
-        };
-        String[] sent = again ? fields : java.util.Arrays.copyOf(fields, fields.length - 2);
+            byte[] body) {
+        private String path() {
+            return "/" + messageClass + (subject == null ? "" : "?subject=" + subject);
+        }
+
+        private String[] fields() {
+            List<String> fields = new ArrayList<>(List.of(
+                    "Host",
+                    "relay",
+                    "X-Call-Id",
+                    id,
+                    "X-Call-Class",
+                    messageClass,
+                    "X-Budget",
+                    Math.max(1, Math.round(budget * 1000)) + "m",
+                    "X-Envelope",
+                    "dest=" + destination));
+            if (caller != null) {
+                fields.addAll(List.of("X-Caller", caller));
+            }
+            if (again) {
+                fields.addAll(List.of("X-Again", "1"));
+            }
+            return fields.toArray(new String[0]);
+        }
+    }
+
+    /** Hands a message in; the listener is called once, by any thread. */
+    void handIn(InetSocketAddress relay, Message message, Answered listener) {
         HttpPool.Exchange exchange = pool.exchange(
                 relay,
-                HttpMessage.request("POST", "/" + messageClass, body, sent),
+                HttpMessage.request("POST", message.path(), message.body(), message.fields()),
                 () -> true,
                 new HttpPool.Listener() {
                     @Override
--- a/src/main/java/juniperusher/lab/sockets/Load.java
+++ b/src/main/java/juniperusher/lab/sockets/Load.java
@@ -115,7 +115,9 @@
                 }
                 leaving.leaves(prefix + i, meant);
                 late.recordValue(micros(System.nanoTime() - meant));
-                client.handIn(relay, prefix + i, messageClass, destination, budget, false, body, new Client.Answered() {
+                Client.Message message =
+                        new Client.Message(prefix + i, messageClass, null, null, destination, budget, false, body);
+                client.handIn(relay, message, new Client.Answered() {
                     @Override
                     public void taken() {
                         latency.recordValue(micros(System.nanoTime() - meant));
--- /dev/null
+++ b/src/test/java/juniperusher/lab/KeyOrderPropertyTest.java
@@ -0,0 +1,114 @@
+package juniperusher.lab;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.eclipsesource.json.Json;
+import com.eclipsesource.json.JsonObject;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Set;
+import juniperusher.settings.CheckedToml;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.DoubleRange;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import net.jqwik.api.lifecycle.AfterContainer;
+
+/**
+ * Drawn restarts, losses and troubles over a few keys in virtual time: no rule is broken, that of order among them. A
+ * failing draw is shrunk and printed with its seed.
+ */
+class KeyOrderPropertyTest {
+    private static final String SEED = "20261202";
+    private static final double SPACING = 3; // s between the troubles, and between the restarts
+    private static final List<String> TROUBLES = List.of("shut", "fast_errors", "hang", "down");
+    private static int delivered;
+
+    private static JsonObject file(List<String> sets) throws IOException {
+        Path file = Files.createTempFile("key-order", ".toml");
+        try {
+            Files.writeString(file, """
+                    title = "a few keys"
+                    seconds = 14
+                    [sequenced]
+                    share = 0.7
+                    gap = 0.25
+                    life = 6
+                    [[destinations]]
+                    name = "a"
+                    rate = 25
+                    latency = 0.05
+                    [[destinations]]
+                    name = "b"
+                    rate = 15
+                    latency = 0.1
+                    """);
+            return CheckedToml.by(Experiment.class, "experiment.schema.json").read(file, sets);
+        } finally {
+            Files.delete(file);
+        }
+    }
+
+    private static String tables(List<String> tables) {
+        return "[" + String.join(", ", tables) + "]";
+    }
+
+    @Property(seed = SEED, tries = 80)
+    void noDrawBreaksTheOrderOfAKey(
+            @ForAll @IntRange(min = 1, max = 1_000_000) int seed,
+            @ForAll @IntRange(min = 1, max = 3) int relays,
+            @ForAll boolean unsafe,
+            @ForAll boolean storm,
+            @ForAll @DoubleRange(min = 0, max = 1) double lost,
+            @ForAll @DoubleRange(min = 0.5, max = 2) double down,
+            @ForAll @DoubleRange(min = 0.5, max = 1.3) double load,
+            @ForAll @IntRange(min = 0, max = 3) int toldWait,
+            @ForAll @Size(max = 3) Set<@IntRange(min = 0, max = 3) Integer> restarts,
+            @ForAll @Size(max = 4) List<@IntRange(min = 0, max = 4) Integer> troubles)
+            throws IOException {
+        List<String> crashes = new ArrayList<>();
+        for (int slot : restarts) {
+            crashes.add(String.format(
+                    Locale.ROOT,
+                    "{relay = %d, at = %.2f, down = %.3f}",
+                    (seed + slot) % relays,
+                    1.5 + slot * SPACING,
+                    down));
+        }
+        List<String> outages = new ArrayList<>();
+        for (int i = 0; i < troubles.size(); i++) {
+            if (troubles.get(i) < TROUBLES.size()) {
+                outages.add(String.format(
+                        Locale.ROOT,
+                        "{kind = '%s', from = %.1f, until = %.1f, warm = 1.0}",
+                        TROUBLES.get(troubles.get(i)),
+                        1 + i * SPACING,
+                        2.5 + i * SPACING));
+            }
+        }
+        JsonObject file = file(List.of(
+                "relays.count=" + relays,
+                "relays.storm=" + storm,
+                "clients.load=" + load,
+                "sequenced.effect=" + (unsafe ? "unsafe" : "safe"),
+                "notes.lost=" + lost,
+                "destinations.0.told_wait=" + toldWait * 0.4,
+                "crashes=" + tables(crashes),
+                "destinations.0.troubles=" + tables(outages)));
+        Run run = VirtualEngine.play("", Plan.of(file, seed));
+        assertEquals(List.of(), run.broken(), Json.array().add(file).toString());
+        delivered +=
+                (int) java.util.Arrays.stream(run.series().get("delivered")).sum();
+    }
+
+    @AfterContainer
+    static void muchWasDelivered() {
+        assertTrue(delivered > 80 * 100, "the draws show little: " + delivered + " messages delivered");
+    }
+}
