The laboratory's relays know tenants by name; keys in order and tenants on sockets

Need: since the front reads subject and X-Caller, the engine on sockets can show both, and a reader of settings has one more tenant, without a share, for whoever is not named.

--- a/src/main/java/juniperusher/lab/LabSettings.java
+++ b/src/main/java/juniperusher/lab/LabSettings.java
@@ -2,6 +2,7 @@
 
 import com.eclipsesource.json.JsonArray;
 import com.eclipsesource.json.JsonObject;
+import java.util.ArrayList;
 import java.util.List;
 import juniperusher.Protocol.Allowed;
 import juniperusher.Protocol.Effect;
@@ -57,12 +58,15 @@
         return plan.relays().tenants() && !plan.tenants().isEmpty();
     }
 
+    /** Those of the plan and, as a relay that reads its settings has it, one for all whom they do not name. */
     private static List<Tenant> tenants(Plan plan) {
-        return tenantsTold(plan)
-                ? plan.tenants().stream()
-                        .map(one -> new Tenant(plan.quota(one)))
-                        .toList()
-                : List.of();
+        if (!tenantsTold(plan)) {
+            return List.of();
+        }
+        List<Tenant> out = new ArrayList<>();
+        plan.tenants().forEach(one -> out.add(new Tenant(one.name(), plan.quota(one))));
+        out.add(new Tenant(0));
+        return out;
     }
 
     private static int held(Plan plan) {
@@ -121,11 +125,11 @@
                     .add("effect", kind.effect() == Effect.SAFE ? "idempotent" : "at_most_once"));
         }
         JsonArray tenants = new JsonArray();
-        for (int i = 0; i < settings.tenants().size(); i++) {
+        for (Plan.Tenant tenant : tenantsTold(plan) ? plan.tenants() : List.<Plan.Tenant>of()) {
             tenants.add(new JsonObject()
-                    .add("name", plan.tenants().get(i).name())
-                    .add("share", plan.tenants().get(i).share())
-                    .add("quotaPerS", settings.tenants().get(i).quota()));
+                    .add("name", tenant.name())
+                    .add("share", tenant.share())
+                    .add("quotaPerS", plan.quota(tenant)));
         }
         return new JsonObject()
                 .add(
--- a/src/test/java/juniperusher/lab/SocketEngineTest.java
+++ b/src/test/java/juniperusher/lab/SocketEngineTest.java
@@ -86,6 +86,59 @@
         assertTrue(run.figures().get("worth") > 0.3, run.figures().toString());
     }
 
+    @Test
+    void keysStayInOrderOverAnOutageAndAKillAndTenantsAreKnown() throws Exception {
+        Path file = Files.writeString(folder.resolve("z.toml"), """
+                title = "keys"
+                seconds = 6
+                [relays]
+                count = 2
+                [clients]
+                load = 0.5
+                [sequenced]
+                share = 0.6
+                gap = 0.5
+                life = 4
+                [[tenants]]
+                name = "within"
+                share = 0.7
+                usage = 0.8
+                [[tenants]]
+                name = "beyond"
+                share = 0.3
+                usage = 2
+                [[destinations]]
+                name = "struck"
+                rate = 40
+                latency = 0.02
+                [[destinations.troubles]]
+                kind = "hang"
+                from = 1
+                until = 1.5
+                warm = 1
+                [[destinations]]
+                name = "sound"
+                rate = 40
+                latency = 0.02
+                [[crashes]]
+                relay = 1
+                at = 3
+                down = 0.6
+                """);
+        CheckedToml checked = CheckedToml.by(Experiment.class, "experiment.schema.json");
+        Run run =
+                SocketEngine.play("keys", Plan.of(checked.read(file, List.of()), 3), "juniperusher.cli.Main", at -> {});
+        assertEquals(List.of(), run.broken());
+        assertTrue(run.figures().get("p50_sequenced") > 0, "nothing in order was delivered: " + run.figures());
+        assertTrue(run.figures().get("worth") > 0.3, run.figures().toString());
+        Run careless = SocketEngine.play(
+                "not told",
+                Plan.of(checked.read(file, List.of("relays.keys=false", "crashes=[]", "seconds=3")), 3),
+                "juniperusher.cli.Main",
+                at -> {});
+        assertTrue(careless.figures().get("broken") > 0, "then the case above shows nothing");
+    }
+
     private static double sum(Run run, String series) {
         double sum = 0;
         for (double value : run.series().getOrDefault(series, new double[0])) {
