Notices that are acknowledged late, in virtual time: what follows in a key waits for them

Need: the module now holds a key until the end of a message is acknowledged, and nothing played that over restarts.

sequenced.acknowledged_after is the mean time until a notice is acknowledged, drawn from a stream of its own; a relay that comes back tells the module of the ends that are still unacknowledged before what it takes up again.

--- a/src/main/java/juniperusher/lab/Plan.java
+++ b/src/main/java/juniperusher/lab/Plan.java
@@ -32,6 +32,7 @@
     private static final int NOTES = 0;
     private static final int RELAYS = 1;
     private static final int KEYS = 2;
+    private static final int ACKNOWLEDGEMENTS = 3;
     private static final int TRAITS = -1; // and below, one for each destination
     private static final double SHARES_ROUNDING = 0.01;
 
@@ -63,13 +64,15 @@
     /**
      * The class in order.
      *
-     * @param share  of all messages, before what is drawn of the other classes
-     * @param unsafe whether what may have run may never be repeated
-     * @param keyed  share of its messages that carry their key
-     * @param gap    mean s between two messages of a key
-     * @param life   mean s for which a key is used
+     * @param share             of all messages, before what is drawn of the other classes
+     * @param unsafe            whether what may have run may never be repeated
+     * @param keyed             share of its messages that carry their key
+     * @param gap               mean s between two messages of a key
+     * @param life              mean s for which a key is used
+     * @param acknowledgedAfter mean s until the notice of a message's end is acknowledged; 0 for at once
      */
-    public record Sequenced(double share, boolean unsafe, double keyed, double gap, double life) {}
+    public record Sequenced(
+            double share, boolean unsafe, double keyed, double gap, double life, double acknowledgedAfter) {}
 
     /**
      * A tenant.
@@ -191,7 +194,8 @@
                         sequenced.getString("effect", "").equals("unsafe"),
                         number(sequenced, "keyed"),
                         number(sequenced, "gap"),
-                        number(sequenced, "life")),
+                        number(sequenced, "life"),
+                        number(sequenced, "acknowledged_after")),
                 all(
                         file,
                         "tenants",
@@ -299,6 +303,11 @@
         return new KeyModel(all * sequenced.share(), sequenced.gap(), sequenced.life(), relays.count(), random(KEYS));
     }
 
+    /** Random numbers for the times until notices are acknowledged. */
+    UniformRandomProvider acknowledgements() {
+        return random(ACKNOWLEDGEMENTS);
+    }
+
     /** Random numbers for the tenants, classes in order and keys of a destination's messages. */
     UniformRandomProvider traits(int destination) {
         return random(TRAITS - destination);
--- a/src/main/java/juniperusher/lab/VirtualEngine.java
+++ b/src/main/java/juniperusher/lab/VirtualEngine.java
@@ -7,6 +7,8 @@
 import java.util.PriorityQueue;
 import juniperusher.Control;
 import juniperusher.Protocol.Action;
+import juniperusher.Protocol.AnswerAcknowledged;
+import juniperusher.Protocol.AnswerPending;
 import juniperusher.Protocol.Arrived;
 import juniperusher.Protocol.Cancel;
 import juniperusher.Protocol.Effect;
@@ -55,6 +57,7 @@
     private final List<UniformRandomProvider> ways = new ArrayList<>();
     private final UniformRandomProvider probeWays;
     private final UniformRandomProvider seeds;
+    private final UniformRandomProvider acknowledgements;
     private final List<DestinationModel> destinations = new ArrayList<>();
     private final List<Relay> relays = new ArrayList<>();
     private final PriorityQueue<Timed> queue = new PriorityQueue<>();
@@ -91,6 +94,7 @@
         demand = new Demand(plan);
         notes = plan.noteModel();
         seeds = plan.seeds();
+        acknowledgements = plan.acknowledgements();
         probeWays = plan.ways(plan.destinations().size());
         for (int i = 0; i < plan.destinations().size(); i++) {
             destinations.add(plan.model(i));
@@ -198,6 +202,15 @@
         }
     }
 
+    /** Whether the messages behind it wait until the notice of its end is acknowledged. */
+    private boolean awaitsAcknowledgement(Wish wish) {
+        return wish.keyed() && plan.sequenced().acknowledgedAfter() > 0;
+    }
+
+    private double acknowledgedIn() {
+        return -Math.log(1 - acknowledgements.nextDouble()) * plan.sequenced().acknowledgedAfter();
+    }
+
     private boolean unsafe(Wish wish) {
         return settings.classes().get(wish.messageClass).effect() == Effect.UNSAFE;
     }
@@ -207,6 +220,7 @@
     private final class Relay {
         private final int number;
         private final Map<Integer, Taken> taken = new LinkedHashMap<>();
+        private final Map<Integer, Taken> unacknowledged = new LinkedHashMap<>(); // whose notices have no answer yet
         private Control control;
         private Storms storms;
         private List<Object> inbox = new ArrayList<>();
@@ -245,23 +259,32 @@
             at(now + down, () -> {
                 away = false;
                 begin();
-                for (Taken message : List.copyOf(taken.values())) {
-                    message.mayHaveRun |= message.out;
-                    message.out = false;
-                    if (now >= message.wish.until || unsafe(message.wish) && message.mayHaveRun) {
-                        taken.remove(message.id);
-                        message.over = true;
-                        rules.answered(message.id, now, !message.mayHaveRun);
-                        if (!message.mayHaveRun) {
-                            refused(message.wish, 0);
-                        }
-                    } else {
-                        post(message);
-                    }
-                }
+                unacknowledged.values().forEach(this::pending);
+                List.copyOf(taken.values()).forEach(this::recover);
             });
         }
 
+        /** Takes up a message that the process before has left. */
+        private void recover(Taken message) {
+            message.mayHaveRun |= message.out;
+            message.out = false;
+            if (now < message.wish.until && !(unsafe(message.wish) && message.mayHaveRun)) {
+                post(message);
+                return;
+            }
+            if (awaitsAcknowledgement(message.wish)) {
+                pending(message);
+            }
+            undelivered(message, !message.mayHaveRun);
+            if (!message.mayHaveRun) {
+                refused(message.wish, 0);
+            }
+        }
+
+        private void pending(Taken message) {
+            post(new AnswerPending(message.id, message.wish.key));
+        }
+
         void offer(Wish wish) {
             if (taken.size() >= settings.allowed().held()) {
                 refused(wish, FULL);
@@ -309,7 +332,9 @@
                                         Math.max(0, message.wish.until - now),
                                         message.attempts,
                                         null,
-                                        message.wish.tries() > 1))
+                                        message.wish.tries() > 1,
+                                        0,
+                                        awaitsAcknowledgement(message.wish)))
                                 : (Event) one);
             }
             inbox = new ArrayList<>();
@@ -326,11 +351,11 @@
             } else if (action instanceof Refuse refuse) {
                 Taken message = taken.get(refuse.message());
                 note(2, message.id);
-                over(message, true);
+                undelivered(message, true);
                 refused(message.wish, refuse.after());
             } else if (action instanceof Fail fail) {
                 note(3, fail.message());
-                over(taken.get(fail.message()), false);
+                undelivered(taken.get(fail.message()), false);
             } else if (action instanceof WakeAt wake) {
                 later(wake.time(), () -> post(new Woken(wake.token())));
             } else if (action instanceof Cancel cancel) {
@@ -399,7 +424,8 @@
             }
             boolean over = outcome == Outcome.DELIVERED;
             if (over) {
-                over(message, false);
+                rules.answered(message.id, now, false);
+                over(message);
                 tally.delivered(message.wish, now);
             }
             post(new Ended(message.id, attempt, message.wish.destination + 1, outcome, now - left, over, told, null));
@@ -454,8 +480,29 @@
             }
         }
 
-        private void over(Taken message, boolean handedBack) {
-            rules.answered(message.id, now, handedBack);
+        /** It ends by a notice. */
+        private void undelivered(Taken message, boolean handedBack) {
+            over(message);
+            if (awaitsAcknowledgement(message.wish)) {
+                rules.noticed(message.id, now, handedBack);
+                unacknowledged.put(message.id, message);
+                at(now + acknowledgedIn(), () -> acknowledged(message));
+            } else {
+                rules.answered(message.id, now, handedBack);
+            }
+        }
+
+        private void acknowledged(Taken message) {
+            if (away) {
+                at(now + acknowledgedIn(), () -> acknowledged(message)); // the notice goes again after the restart
+                return;
+            }
+            unacknowledged.remove(message.id);
+            rules.acknowledged(message.id);
+            post(new AnswerAcknowledged(message.id, message.wish.key));
+        }
+
+        private void over(Taken message) {
             message.over = true;
             taken.remove(message.id);
         }
--- a/src/test/java/juniperusher/lab/KeyOrderPropertyTest.java
+++ b/src/test/java/juniperusher/lab/KeyOrderPropertyTest.java
@@ -21,8 +21,8 @@
 import net.jqwik.api.lifecycle.AfterContainer;
 
 /**
- * Drawn restarts, losses and troubles over a few keys in virtual time: no rule is broken, that of order among them. A
- * failing draw is shrunk and printed with its seed.
+ * Drawn restarts, losses, troubles and late acknowledgements over a few keys in virtual time: no rule is broken, that
+ * of order among them. A failing draw is shrunk and printed with its seed.
  */
 class KeyOrderPropertyTest {
     private static final String SEED = "20261202";
@@ -69,6 +69,7 @@
             @ForAll @DoubleRange(min = 0.5, max = 2) double down,
             @ForAll @DoubleRange(min = 0.5, max = 1.3) double load,
             @ForAll @IntRange(min = 0, max = 3) int toldWait,
+            @ForAll @DoubleRange(min = 0, max = 1.5) double acknowledgedAfter,
             @ForAll @Size(max = 3) Set<@IntRange(min = 0, max = 3) Integer> restarts,
             @ForAll @Size(max = 4) List<@IntRange(min = 0, max = 4) Integer> troubles)
             throws IOException {
@@ -97,6 +98,7 @@
                 "relays.storm=" + storm,
                 "clients.load=" + load,
                 "sequenced.effect=" + (unsafe ? "unsafe" : "safe"),
+                "sequenced.acknowledged_after=" + acknowledgedAfter,
                 "notes.lost=" + lost,
                 "destinations.0.told_wait=" + toldWait * 0.4,
                 "crashes=" + tables(crashes),
