--- a/src/main/java/juniperusher/lab/VirtualEngine.java
+++ b/src/main/java/juniperusher/lab/VirtualEngine.java
@@ -7,8 +7,11 @@
 import java.util.PriorityQueue;
 import juniperusher.Control;
 import juniperusher.Protocol.Action;
+import juniperusher.Protocol.AnswerAcknowledged;
+import juniperusher.Protocol.AnswerPending;
 import juniperusher.Protocol.Arrived;
 import juniperusher.Protocol.Cancel;
+import juniperusher.Protocol.Effect;
 import juniperusher.Protocol.Ended;
 import juniperusher.Protocol.Event;
 import juniperusher.Protocol.Fail;
@@ -42,21 +45,23 @@
     private static final double NEAR = 0.015; // s, the least way to a destination, and
     private static final double FAR = 0.045; // the longest
     private static final double GRACE = 0.05; // s by which a final answer may be late
+    private static final double ROUNDING = 1e-9; // s by which sums of times may differ
     private static final double PROBE = 1.5; // s after which an unanswered probe has failed
     private static final double FULL = 0.5; // s that a relay without room tells
     // kinds of random numbers of a destination, after those of NOTES and RELAYS
 
     private final Plan plan;
     private final Settings settings;
-    private final List<ClientModel> clients = new ArrayList<>();
+    private final Demand demand;
     private final NoteModel notes;
     private final List<UniformRandomProvider> ways = new ArrayList<>();
     private final UniformRandomProvider probeWays;
     private final UniformRandomProvider seeds;
+    private final UniformRandomProvider acknowledgements;
     private final List<DestinationModel> destinations = new ArrayList<>();
     private final List<Relay> relays = new ArrayList<>();
     private final PriorityQueue<Timed> queue = new PriorityQueue<>();
-    private final RuleChecker rules = new RuleChecker(GRACE, -1e-9);
+    private final RuleChecker rules;
     private final Tally tally;
     private double now;
     private long sequence;
@@ -71,16 +76,6 @@
         }
     }
 
-    /** A client's wish, over all its handings-in. */
-    private static final class Wish {
-        int destination;
-        int kind;
-        double from;
-        double until;
-        int tries;
-        Relay at;
-    }
-
     /** A message taken by a relay. */
     private static final class Taken {
         int id;
@@ -94,23 +89,22 @@
     private VirtualEngine(Plan plan) {
         this.plan = plan;
         settings = LabSettings.of(plan);
+        rules = new RuleChecker(GRACE, -ROUNDING, settings.rules().keyQuiet() - ROUNDING);
         tally = new Tally(plan, settings.classes());
+        demand = new Demand(plan);
         notes = plan.noteModel();
         seeds = plan.seeds();
+        acknowledgements = plan.acknowledgements();
         probeWays = plan.ways(plan.destinations().size());
         for (int i = 0; i < plan.destinations().size(); i++) {
             destinations.add(plan.model(i));
-            clients.add(plan.clients(i));
             ways.add(plan.ways(i));
         }
         for (int i = 0; i < plan.relays().count(); i++) {
             relays.add(new Relay(i));
         }
         for (int i = 0; i < destinations.size(); i++) {
-            arrivals(
-                    i,
-                    plan.destinations().get(i).rate()
-                            * plan.destinations().get(i).load());
+            arrivals(i);
         }
     }
 
@@ -126,7 +120,7 @@
         for (double second = 0.5; second < plan.seconds(); second++) {
             at(second, this::sample);
         }
-        double last = plan.seconds() + LabSettings.ORDER.deadline() + 1;
+        double last = plan.seconds() + LabSettings.longestDeadline(plan) + 1;
         while (!queue.isEmpty() && queue.peek().at() <= last) {
             Timed next = queue.poll();
             now = next.at();
@@ -180,44 +174,53 @@
 
     // ---- clients ----
 
-    private void arrivals(int destination, double rate) {
-        at(now + clients.get(destination).gap(rate), () -> {
+    private void arrivals(int destination) {
+        at(now + demand.gap(destination), () -> {
             if (now < plan.seconds()) {
-                Wish wish = new Wish();
-                wish.destination = destination;
-                wish.kind = clients.get(destination).order() ? 1 : 0;
-                wish.from = now;
-                wish.until = now + settings.classes().get(wish.kind).deadline();
-                wish.at = relays.get(clients.get(destination).relay(relays.size()));
-                tally.asked(destination, wish.kind, now);
+                Wish wish = demand.next(destination, now);
+                tally.asked(wish);
                 handIn(wish);
-                arrivals(destination, rate);
+                arrivals(destination);
             }
         });
     }
 
     private void handIn(Wish wish) {
-        if (wish.at.away) {
-            at(now + clients.get(wish.destination).unreached(), () -> handIn(wish));
+        if (relays.get(wish.relay).away) {
+            at(now + demand.clients(wish.destination).unreached(), () -> handIn(wish));
         } else if (now < wish.until) {
-            wish.tries++;
-            wish.at.offer(wish);
+            wish.handedIn();
+            relays.get(wish.relay).offer(wish);
         }
     }
 
     private void refused(Wish wish, double after) {
         tally.turnedAway(now);
-        double back = clients.get(wish.destination).back(wish.tries, after);
+        double back = demand.clients(wish.destination).back(wish.tries(), after);
         if (back < Double.POSITIVE_INFINITY) {
             at(now + back, () -> handIn(wish));
         }
     }
 
+    /** Whether the messages behind it wait until the notice of its end is acknowledged. */
+    private boolean awaitsAcknowledgement(Wish wish) {
+        return wish.keyed() && plan.sequenced().acknowledgedAfter() > 0;
+    }
+
+    private double acknowledgedIn() {
+        return -Math.log(1 - acknowledgements.nextDouble()) * plan.sequenced().acknowledgedAfter();
+    }
+
+    private boolean unsafe(Wish wish) {
+        return settings.classes().get(wish.messageClass).effect() == Effect.UNSAFE;
+    }
+
     // ---- a relay ----
 
     private final class Relay {
         private final int number;
         private final Map<Integer, Taken> taken = new LinkedHashMap<>();
+        private final Map<Integer, Taken> unacknowledged = new LinkedHashMap<>(); // whose notices have no answer yet
         private Control control;
         private Storms storms;
         private List<Object> inbox = new ArrayList<>();
@@ -251,28 +254,37 @@
         void die(double down) {
             away = true;
             life++;
-            rules.restarted(number);
+            rules.restarted(number, now);
             taken.keySet().forEach(id -> rules.died(id, now + down));
             at(now + down, () -> {
                 away = false;
                 begin();
-                for (Taken message : List.copyOf(taken.values())) {
-                    message.mayHaveRun |= message.out;
-                    message.out = false;
-                    if (now >= message.wish.until || message.wish.kind == 1 && message.mayHaveRun) {
-                        taken.remove(message.id);
-                        message.over = true;
-                        rules.answered(message.id, now, !message.mayHaveRun);
-                        if (!message.mayHaveRun) {
-                            refused(message.wish, 0);
-                        }
-                    } else {
-                        post(message);
-                    }
-                }
+                unacknowledged.values().forEach(this::pending);
+                List.copyOf(taken.values()).forEach(this::recover);
             });
         }
 
+        /** Takes up a message that the process before has left. */
+        private void recover(Taken message) {
+            message.mayHaveRun |= message.out;
+            message.out = false;
+            if (now < message.wish.until && !(unsafe(message.wish) && message.mayHaveRun)) {
+                post(message);
+                return;
+            }
+            if (awaitsAcknowledgement(message.wish)) {
+                pending(message);
+            }
+            undelivered(message, !message.mayHaveRun);
+            if (!message.mayHaveRun) {
+                refused(message.wish, 0);
+            }
+        }
+
+        private void pending(Taken message) {
+            post(new AnswerPending(message.id, message.wish.key));
+        }
+
         void offer(Wish wish) {
             if (taken.size() >= settings.allowed().held()) {
                 refused(wish, FULL);
@@ -282,7 +294,11 @@
             message.id = ++lastMessage;
             message.wish = wish;
             taken.put(message.id, message);
-            rules.taken(message.id, wish.kind == 1, wish.until);
+            if (wish.keyed()) {
+                rules.taken(message.id, unsafe(wish), wish.until, number, wish.subject());
+            } else {
+                rules.taken(message.id, unsafe(wish), wish.until);
+            }
             post(message);
         }
 
@@ -309,14 +325,16 @@
                         one instanceof Taken message
                                 ? new Arrived(new Message(
                                         message.id,
-                                        message.wish.kind,
-                                        0,
+                                        message.wish.messageClass,
+                                        message.wish.tenant,
                                         message.wish.destination,
-                                        0,
+                                        message.wish.key,
                                         Math.max(0, message.wish.until - now),
                                         message.attempts,
                                         null,
-                                        message.wish.tries > 1))
+                                        message.wish.tries() > 1,
+                                        0,
+                                        awaitsAcknowledgement(message.wish)))
                                 : (Event) one);
             }
             inbox = new ArrayList<>();
@@ -333,11 +351,11 @@
             } else if (action instanceof Refuse refuse) {
                 Taken message = taken.get(refuse.message());
                 note(2, message.id);
-                over(message, true);
+                undelivered(message, true);
                 refused(message.wish, refuse.after());
             } else if (action instanceof Fail fail) {
                 note(3, fail.message());
-                over(taken.get(fail.message()), false);
+                undelivered(taken.get(fail.message()), false);
             } else if (action instanceof WakeAt wake) {
                 later(wake.time(), () -> post(new Woken(wake.token())));
             } else if (action instanceof Cancel cancel) {
@@ -396,14 +414,19 @@
             }
             message.out = false;
             message.mayHaveRun |= !outcome.neverRan();
-            rules.ended(message.id, !outcome.neverRan());
+            if (outcome.mayStillRun()) {
+                rules.abandoned(message.id, now, true);
+            } else {
+                rules.ended(message.id, !outcome.neverRan());
+            }
             if (told > 0) {
                 rules.told(number, message.wish.destination, now, now + told);
             }
             boolean over = outcome == Outcome.DELIVERED;
             if (over) {
-                over(message, false);
-                tally.delivered(message.wish.destination, message.wish.kind, message.wish.from, now);
+                rules.answered(message.id, now, false);
+                over(message);
+                tally.delivered(message.wish, now);
             }
             post(new Ended(message.id, attempt, message.wish.destination + 1, outcome, now - left, over, told, null));
         }
@@ -413,7 +436,7 @@
             if (message != null && message.out && message.attempts - 1 == cancel.attempt()) {
                 message.mayHaveRun = true;
                 message.out = false;
-                rules.ended(message.id, true);
+                rules.abandoned(message.id, now, true);
                 post(new Ended(
                         message.id,
                         cancel.attempt(),
@@ -457,8 +480,29 @@
             }
         }
 
-        private void over(Taken message, boolean handedBack) {
-            rules.answered(message.id, now, handedBack);
+        /** It ends by a notice. */
+        private void undelivered(Taken message, boolean handedBack) {
+            over(message);
+            if (awaitsAcknowledgement(message.wish)) {
+                rules.noticed(message.id, now, handedBack);
+                unacknowledged.put(message.id, message);
+                at(now + acknowledgedIn(), () -> acknowledged(message));
+            } else {
+                rules.answered(message.id, now, handedBack);
+            }
+        }
+
+        private void acknowledged(Taken message) {
+            if (away) {
+                at(now + acknowledgedIn(), () -> acknowledged(message)); // the notice goes again after the restart
+                return;
+            }
+            unacknowledged.remove(message.id);
+            rules.acknowledged(message.id);
+            post(new AnswerAcknowledged(message.id, message.wish.key));
+        }
+
+        private void over(Taken message) {
             message.over = true;
             taken.remove(message.id);
         }
