--- /dev/null
+++ b/src/test/java/juniperusher/fleet/EventLoopTest.java
@@ -0,0 +1,213 @@
+package juniperusher.fleet;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.Callable;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+class EventLoopTest {
+    private static final int ROOM = 256 * 1024;
+    private static final long PATIENCE = 10; // s
+
+    private EventLoop loop;
+
+    /** Notes what it hears. */
+    private static class Recorder implements Connection.Handler {
+        final BlockingQueue<String> heard = new LinkedBlockingQueue<>();
+        Connection connection;
+
+        @Override
+        public void opened(Connection opened) {
+            connection = opened;
+            heard.add("opened");
+        }
+
+        @Override
+        public void received(ByteBuffer input) {
+            byte[] bytes = new byte[input.remaining()];
+            input.get(bytes);
+            heard.add(new String(bytes, StandardCharsets.US_ASCII));
+        }
+
+        @Override
+        public void closed(String reason) {
+            heard.add("closed");
+        }
+
+        String next() throws InterruptedException {
+            String next = heard.poll(PATIENCE, TimeUnit.SECONDS);
+            assertNotNull(next, "nothing was heard in time");
+            return next;
+        }
+    }
+
+    @BeforeEach
+    void start() throws Exception {
+        loop = new EventLoop("test", 64);
+        loop.start();
+    }
+
+    @AfterEach
+    void close() {
+        loop.close();
+    }
+
+    private <T> T onLoop(Callable<T> task) throws Exception {
+        CompletableFuture<T> result = new CompletableFuture<>();
+        loop.execute(() -> {
+            try {
+                result.complete(task.call());
+            } catch (Exception e) {
+                result.completeExceptionally(e);
+            }
+        });
+        return result.get(PATIENCE, TimeUnit.SECONDS);
+    }
+
+    private EventLoop.Listener listen(Recorder server, int maxAccepted) throws Exception {
+        return onLoop(() -> loop.listen(new InetSocketAddress("127.0.0.1", 0), () -> server, maxAccepted, ROOM, ROOM));
+    }
+
+    private Recorder dial(InetSocketAddress address) throws Exception {
+        Recorder client = new Recorder();
+        onLoop(() -> loop.connect(address, 5, client, ROOM, ROOM));
+        return client;
+    }
+
+    private static ByteBuffer text(String text) {
+        return ByteBuffer.wrap(text.getBytes(StandardCharsets.US_ASCII));
+    }
+
+    @Test
+    void bytesGoBothWaysAndTheEndIsHeard() throws Exception {
+        Recorder server = new Recorder();
+        Recorder client = dial(listen(server, 8).address());
+        assertEquals("opened", client.next());
+        assertEquals("opened", server.next());
+        assertTrue(onLoop(() -> client.connection.send(text("ask"))));
+        assertEquals("ask", server.next());
+        assertTrue(onLoop(() -> server.connection.send(text("answer"))));
+        assertEquals("answer", client.next());
+        loop.execute(() -> client.connection.close("done"));
+        assertEquals("closed", client.next());
+        assertEquals("closed", server.next());
+        assertEquals(0, onLoop(loop::connections));
+    }
+
+    @Test
+    void aConnectionBeyondTheBoundIsClosedAndTheOthersStay() throws Exception {
+        Recorder server = new Recorder();
+        EventLoop.Listener listener = listen(server, 1);
+        Recorder first = dial(listener.address());
+        assertEquals("opened", first.next());
+        assertEquals("opened", server.next());
+        Recorder second = dial(listener.address());
+        assertEquals("opened", second.next());
+        assertEquals("closed", second.next());
+        assertEquals(1, onLoop(listener::refused));
+        loop.execute(() -> first.connection.send(text("still here")));
+        assertEquals("still here", server.next());
+    }
+
+    @Test
+    void aPeerThatReadsNothingIsBoundedAndDoesNotHoldTheOthers() throws Exception {
+        Recorder server = new Recorder();
+        EventLoop.Listener listener = listen(server, 8);
+        Recorder slow = dial(listener.address());
+        assertEquals("opened", slow.next());
+        assertEquals("opened", server.next());
+        Connection toSlow = server.connection;
+        onLoop(() -> {
+            slow.connection.pauseReading();
+            return null;
+        });
+        List<Long> queued = new ArrayList<>();
+        int sent = onLoop(() -> {
+            ByteBuffer block = ByteBuffer.allocate(16 * 1024);
+            int accepted = 0;
+            while (toSlow.send(block)) { // the kernel's buffers are some MB at most
+                accepted++;
+                queued.add(toSlow.queued());
+            }
+            return accepted;
+        });
+        assertTrue(sent > 0);
+        assertTrue(queued.stream().allMatch(bytes -> bytes <= ROOM), "bounded: " + queued);
+        assertFalse(onLoop(toSlow::isClosed));
+        Recorder other = dial(listener.address());
+        assertEquals("opened", other.next());
+        assertEquals("opened", server.next());
+        loop.execute(() -> server.connection.send(text("quick")));
+        assertEquals("quick", other.next());
+    }
+
+    @Test
+    void inputThatIsNotConsumedIsKeptUpToTheBound() throws Exception {
+        Recorder server = new Recorder() {
+            @Override
+            public void received(ByteBuffer input) {
+                heard.add("kept " + input.remaining());
+            }
+        };
+        EventLoop.Listener listener =
+                onLoop(() -> loop.listen(new InetSocketAddress("127.0.0.1", 0), () -> server, 8, 8, ROOM));
+        Recorder client = dial(listener.address());
+        assertEquals("opened", client.next());
+        assertEquals("opened", server.next());
+        loop.execute(() -> client.connection.send(text("12345")));
+        assertEquals("kept 5", server.next());
+        loop.execute(() -> client.connection.send(text("678")));
+        assertEquals("kept 8", server.next());
+        loop.execute(() -> client.connection.send(text("9")));
+        assertEquals("kept 9", server.next());
+        assertEquals("closed", server.next());
+    }
+
+    @Test
+    void aRefusedConnectAndAFailingHandlerEndOneConnectionOnly() throws Exception {
+        InetSocketAddress nobody;
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+            nobody = new InetSocketAddress("127.0.0.1", socket.getLocalPort());
+        }
+        assertEquals("closed", dial(nobody).next());
+        Recorder failing = new Recorder() {
+            @Override
+            public void received(ByteBuffer input) {
+                throw new IllegalStateException("on purpose");
+            }
+        };
+        Recorder client = dial(listen(failing, 8).address());
+        assertEquals("opened", client.next());
+        loop.execute(() -> client.connection.send(text("x")));
+        assertEquals("closed", client.next());
+        assertEquals("the loop goes on", onLoop(() -> "the loop goes on"));
+    }
+
+    @Test
+    void timersRunInOrderAndNotOnceCancelled() throws Exception {
+        BlockingQueue<String> ran = new LinkedBlockingQueue<>();
+        loop.execute(() -> {
+            loop.schedule(0.03, () -> ran.add("second"));
+            loop.schedule(0.01, () -> ran.add("first"));
+            loop.schedule(0.02, () -> ran.add("never")).cancel();
+        });
+        assertEquals("first", ran.poll(PATIENCE, TimeUnit.SECONDS));
+        assertEquals("second", ran.poll(PATIENCE, TimeUnit.SECONDS));
+    }
+}
