Settings: tables [fleet] and [control], off without them

Need: a relay's subscription to the shard map and a control process are set in the operator's file; a bad address, region or size has to be one line with file and key.

Change: the schema knows both tables; OperatorSettings carries them as tables, so that no class of the fleet is loaded by reading a file. Arrays of plain values are printed as such by 'settings show'.

Result: OperatorSettingsTest passes, with thirteen mistakes more.

--- a/src/main/java/juniperusher/settings/OperatorSettings.java
+++ b/src/main/java/juniperusher/settings/OperatorSettings.java
@@ -13,9 +13,12 @@
  *
  * @param storm the storm package's settings, or null where it is off
  * @param amqp  the table of the AMQP front with its defaults filled in, or null where it is off
+ * @param fleet the table of the shard map's subscription with its defaults filled in, or null where it is off
+ * @param control the table of a control process with its defaults filled in, or null where it is off
  * @param all   all that is in force: the file's values and the defaults of the tables that it has
  */
-public record OperatorSettings(StormSettings storm, JsonObject amqp, JsonObject all) {
+public record OperatorSettings(
+        StormSettings storm, JsonObject amqp, JsonObject fleet, JsonObject control, JsonObject all) {
     private static final String SCHEMA = "operator.schema.json";
 
     /**
@@ -28,7 +31,7 @@
         JsonObject all = CheckedToml.by(OperatorSettings.class, SCHEMA).read(file, List.of());
         JsonObject storm = on(all, "storm");
         try {
-            return new OperatorSettings(storm == null ? null : storm(storm), on(all, "amqp"), all);
+            return new OperatorSettings(storm == null ? null : storm(storm), on(all, "amqp"), on(all, "fleet"), on(all, "control"), all);
         } catch (IllegalArgumentException e) {
             // Of two values that do not go together none is the wrong one: no line.
             throw new Mistake(file.toString(), "[storm] " + e.getMessage());
@@ -80,7 +83,7 @@
     private static void keys(JsonObject schema, String before, StringBuilder out) {
         for (JsonObject.Member key : schema.get("properties").asObject()) {
             JsonObject inner = key.getValue().asObject();
-            if (inner.get("items") != null) {
+            if (isTables(inner)) {
                 out.append("\n# [[amqp.")
                         .append(key.getName())
                         .append("]] # ")
@@ -102,6 +105,17 @@
         }
     }
 
+    private static boolean isTables(JsonObject schema) {
+        JsonValue items = schema.get("items");
+        return items != null && items.asObject().get("properties") != null;
+    }
+
+    private static boolean isTables(JsonValue value) {
+        return value.isArray()
+                && !value.asArray().isEmpty()
+                && value.asArray().get(0).isObject();
+    }
+
     /** The tables in force as TOML. */
     public String toml() {
         StringBuilder out = new StringBuilder();
@@ -111,7 +125,7 @@
                     .append(table.getName())
                     .append("]\n");
             table.getValue().asObject().forEach(key -> {
-                if (!key.getValue().isArray()) {
+                if (!isTables(key.getValue())) {
                     out.append(key.getName())
                             .append(" = ")
                             .append(key.getValue())
@@ -119,7 +133,7 @@
                 }
             });
             for (JsonObject.Member key : table.getValue().asObject()) {
-                if (key.getValue().isArray()) {
+                if (isTables(key.getValue())) {
                     key.getValue().asArray().forEach(entry -> {
                         out.append("\n[[")
                                 .append(table.getName())
--- a/src/test/java/juniperusher/settings/OperatorSettingsTest.java
+++ b/src/test/java/juniperusher/settings/OperatorSettingsTest.java
@@ -57,6 +57,19 @@
         assertNull(OperatorSettings.read(file("[amqp]\non = false\n")).amqp());
     }
 
+    @Test
+    void theFleetsTablesHaveTheirDefaultsAndAreOffWithoutThem() throws Exception {
+        OperatorSettings off = OperatorSettings.read(file("[storm]\n[fleet]\non = false\n[control]\non = false\n"));
+        assertNull(off.fleet());
+        assertNull(off.control());
+        OperatorSettings on = OperatorSettings.read(file("[fleet]\ncontrol = ['h:1', '[::1]:65535']\nregion = 'r-1'\n"
+                + "zone = 'a'\n[control]\nlisten = '127.0.0.1:7400'\nstate = 's'\n"));
+        assertEquals(30, on.fleet().getDouble("stale_after", 0));
+        assertEquals("[::1]:65535", on.fleet().get("control").asArray().get(1).asString());
+        assertEquals(0, on.control().get("upstream").asArray().size());
+        assertEquals(on, OperatorSettings.read(file(on.toml())));
+    }
+
     @Test
     void whatIsInForceCanBeReadAgain() throws Exception {
         OperatorSettings first = OperatorSettings.read(file("[storm]\nquiet = 3\n[amqp]\nclass = 'own'\n"
@@ -68,7 +81,7 @@
     @ParameterizedTest
     @CsvSource(delimiter = '|', quoteCharacter = '"', textBlock = """
             [storm                          | :1: | ]
-            [strom]                         | :1: | 'strom' is not known; expected one of storm, amqp
+            [strom]                         | :1: | 'strom' is not known; expected one of storm, amqp, fleet, control
             storm = 3                       | :1: | object expected
             [storm];quite = 2               | :2: | 'storm.quite' is not known; expected one of on
             [storm];quiet = 'long'          | :2: | number expected
@@ -81,6 +94,19 @@
             [amqp];class='c';[[amqp.brokers]];adress='b:1' | :4: | 'amqp.brokers.0.adress' is not known
             [amqp];listen = 'h:1'           | :1: | 'class' not found
             [storm];margin = 2;[amqp];user = 3 | :2: | maximum value
+            [fleet];region='r';zone='z'     | :1: | 'control' not found
+            [fleet];control=['h:1'];zone='z' | :1: | 'region' not found
+            [fleet];control=['h:1','h'];region='r';zone='z' | :2: | 'fleet.control.1'
+            [fleet];control=['h:65536'];region='r';zone='z' | :2: | 'fleet.control.0' = "h:65536"
+            [fleet];control=[];region='r';zone='z' | :2: | 'fleet.control'
+            [fleet];control=['h:1'];region='R 1';zone='z' | :3: | 'fleet.region' = "R 1"
+            [fleet];control=['h:1'];region='r';zone='' | :4: | 'fleet.zone'
+            [fleet];control=['h:1'];region='r';zone='z';max_map_bytes=12 | :5: | 'fleet.max_map_bytes' = 12
+            [fleet];control=['h:1'];region='r';zone='z';stale_after=0 | :5: | 'fleet.stale_after' = 0
+            [control];listen='h:0';state='s' | :2: | 'control.listen' = "h:0"
+            [control];listen='h:1'          | :1: | 'state' not found
+            [control];listen='h:1';state='s';operator='10.0.0.1:7401' | :4: | 'control.operator'
+            [control];listen='h:1';state='s';destinations=0 | :4: | 'control.destinations' = 0
             """)
     void aMistakeIsOneLineThatSaysWhere(String text, String line, String expected) {
         CheckedToml.Mistake mistake = assertThrows(
