--- a/src/test/java/juniperusher/ImportsTest.java
+++ b/src/test/java/juniperusher/ImportsTest.java
@@ -146,6 +146,26 @@
                             "java.util.concurrent",
                             "java.lang.System",
                             "java.time")),
+            Map.entry(
+                    "distribution",
+                    List.of(
+                            "juniperusher.core",
+                            "juniperusher.http",
+                            "juniperusher.amqp",
+                            "juniperusher.net",
+                            "juniperusher.cli",
+                            "juniperusher.sim",
+                            "juniperusher.Control",
+                            "juniperusher.shard",
+                            "juniperusher.store",
+                            "juniperusher.lab",
+                            "java.io",
+                            "java.net",
+                            "java.nio.channels",
+                            "java.nio.file",
+                            "java.util.concurrent",
+                            "java.lang.System",
+                            "java.time")),
             Map.entry(
                     "lab/fleet",
                     List.of(
