--- /dev/null
+++ b/src/test/java/juniperusher/shard/ShardMapCodecTest.java
@@ -0,0 +1,171 @@
+package juniperusher.shard;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.Arrays;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.function.Function;
+import java.util.zip.CRC32C;
+import org.junit.jupiter.api.Test;
+
+/** The binary forms: round trips, damage at every byte, and deltas for maps that are not there. */
+class ShardMapCodecTest {
+    private static final long SEED = 20261202;
+    private static final int FORGERIES = 20_000;
+
+    private final ShardMapCodec codec = new ShardMapCodec();
+    private final ShardMap base = ShardMapTest.map();
+    private final ShardMap next = base.next(
+            new ShardMapStep.PutRelay(new RelayInfo("d", "west", "w1", 3)),
+            new ShardMapStep.Split(10, 20),
+            new ShardMapStep.Move(20, "a"),
+            new ShardMapStep.Release(40),
+            new ShardMapStep.RemoveRelay("c"));
+
+    private static byte[] sealed(byte[] bytes) {
+        CRC32C checksum = new CRC32C();
+        checksum.update(bytes, 0, bytes.length - 4);
+        byte[] sealed = bytes.clone();
+        for (int i = 0; i < 4; i++) {
+            sealed[bytes.length - 4 + i] = (byte) (checksum.getValue() >>> (24 - 8 * i));
+        }
+        return sealed;
+    }
+
+    private static void damaged(String message, Function<byte[], ?> decoding, byte[] bytes) {
+        DamagedMapException refusal = assertThrows(DamagedMapException.class, () -> decoding.apply(bytes));
+        assertTrue(refusal.getMessage().contains(message), refusal.getMessage());
+    }
+
+    @Test
+    void aSnapshotComesBackEqualAndWithEqualBytes() {
+        byte[] bytes = codec.encode(next);
+        ShardMap decoded = codec.decode(bytes);
+        assertEquals(next, decoded);
+        assertEquals(next.digest(), decoded.digest());
+        assertArrayEquals(bytes, codec.encode(decoded));
+        assertEquals(7, codec.decode(codec.encode(base)).epoch());
+    }
+
+    @Test
+    void aDeltaLeadsToTheMapThatItWasMadeFor() {
+        byte[] bytes = codec.encodeDelta(base, next);
+        assertEquals(next, codec.apply(base, bytes));
+        assertEquals(next.relays(), codec.apply(base, bytes).relays());
+        ShardMapDelta delta = codec.decodeDelta(bytes);
+        assertEquals(7, delta.fromEpoch());
+        assertEquals(8, delta.toEpoch());
+        assertEquals(3, delta.changedRanges());
+        assertArrayEquals(bytes, codec.encode(delta));
+    }
+
+    @Test
+    void aDeltaMayLeadOverSeveralEpochs() {
+        ShardMap third = next.next(
+                        new ShardMapStep.Move(20, "b"), new ShardMapStep.Merge(10), new ShardMapStep.Split(0, 5))
+                .next(new ShardMapStep.Move(5, "b"));
+        assertEquals(third, codec.apply(base, codec.encodeDelta(base, third)));
+        assertEquals(third, codec.apply(next, codec.encodeDelta(next, third)));
+    }
+
+    @Test
+    void cutsAndFlipsAtEveryByteAreRefused() {
+        byte[] snapshot = codec.encode(next);
+        byte[] delta = codec.encodeDelta(base, next);
+        for (int length = 0; length < snapshot.length; length++) {
+            damaged("", codec::decode, Arrays.copyOf(snapshot, length));
+        }
+        for (int length = 0; length < delta.length; length++) {
+            damaged("", cut -> codec.apply(base, cut), Arrays.copyOf(delta, length));
+        }
+        for (int bit = 0; bit < 8 * snapshot.length; bit++) {
+            byte[] flipped = snapshot.clone();
+            flipped[bit / 8] ^= (byte) (1 << bit % 8);
+            damaged("", codec::decode, flipped);
+        }
+        for (int bit = 0; bit < 8 * delta.length; bit++) {
+            byte[] flipped = delta.clone();
+            flipped[bit / 8] ^= (byte) (1 << bit % 8);
+            damaged("", broken -> codec.apply(base, broken), flipped);
+        }
+    }
+
+    @Test
+    void bytesLeftOverAreRefused() {
+        byte[] snapshot = codec.encode(next);
+        damaged("left over", codec::decode, sealed(Arrays.copyOf(snapshot, snapshot.length + 1)));
+        byte[] delta = codec.encodeDelta(base, next);
+        damaged("left over", codec::decodeDelta, sealed(Arrays.copyOf(delta, delta.length + 1)));
+    }
+
+    /** With a checksum that matches, what is decoded is valid or refused; nothing else happens. */
+    @Test
+    void forgeriesWithAMatchingChecksumAreRefusedOrValid() {
+        SplittableRandom random = new SplittableRandom(SEED);
+        byte[] snapshot = codec.encode(next);
+        byte[] delta = codec.encodeDelta(base, next);
+        int refused = 0;
+        for (int i = 0; i < FORGERIES; i++) {
+            byte[] forged = (i % 2 == 0 ? snapshot : delta).clone();
+            for (int changes = random.nextInt(1, 4); changes > 0; changes--) {
+                forged[random.nextInt(4, forged.length - 4)] = (byte) random.nextInt(256);
+            }
+            try {
+                if (i % 2 == 0) {
+                    ShardMap decoded = codec.decode(sealed(forged));
+                    assertEquals(decoded, codec.decode(codec.encode(decoded)));
+                } else {
+                    assertEquals(next, codec.apply(base, sealed(forged)));
+                }
+            } catch (DamagedMapException | WrongBaseException expected) {
+                refused++;
+            }
+        }
+        assertTrue(refused > FORGERIES / 2, "seed " + SEED + ", refused " + refused);
+    }
+
+    @Test
+    void otherVersionsAndKindsAreNamed() {
+        byte[] newer = codec.encode(next);
+        newer[3] = 2;
+        damaged("version 1 was expected, got 2", codec::decode, sealed(newer));
+        damaged("kind 'S' was expected, got 'D'", codec::decode, codec.encodeDelta(base, next));
+        damaged("kind 'D' was expected, got 'S'", codec::decodeDelta, codec.encode(base));
+        damaged("no shard map", codec::decode, sealed(new byte[40]));
+        damaged("at least 8 bytes", codec::decode, new byte[0]);
+    }
+
+    @Test
+    void aDeltaTwiceOrOutOfOrderOrForAMapThatIsNotThereIsRefused() {
+        ShardMap third = next.next(new ShardMapStep.Move(0, "b"));
+        byte[] first = codec.encodeDelta(base, next);
+        byte[] second = codec.encodeDelta(next, third);
+        WrongBaseException early = assertThrows(WrongBaseException.class, () -> codec.apply(base, second));
+        assertEquals(8, early.expectedEpoch());
+        assertEquals(7, early.actualEpoch());
+        ShardMap applied = codec.apply(base, first);
+        assertThrows(WrongBaseException.class, () -> codec.apply(applied, first), "twice");
+        assertEquals(third, codec.apply(applied, second));
+        assertThrows(WrongBaseException.class, () -> codec.apply(third, first), "late");
+    }
+
+    @Test
+    void aDeltaForAnotherMapOfTheSameEpochIsRefused() {
+        ShardMap other = base.next(new ShardMapStep.Move(0, "b"));
+        byte[] delta = codec.encodeDelta(next, next.next(new ShardMapStep.Release(0)));
+        WrongBaseException refusal = assertThrows(WrongBaseException.class, () -> codec.apply(other, delta));
+        assertEquals("the delta was made from another map of epoch 8", refusal.getMessage());
+    }
+
+    @Test
+    void deltasGoForwardInOneSpaceOnly() {
+        assertThrows(IllegalArgumentException.class, () -> ShardMapDelta.between(next, base));
+        assertThrows(IllegalArgumentException.class, () -> ShardMapDelta.between(base, base));
+        ShardMap narrow = ShardMap.of(9, 0, 10, List.of(), List.of(ShardRange.unowned(0, 10, "north", 0)));
+        assertThrows(IllegalArgumentException.class, () -> ShardMapDelta.between(base, narrow));
+    }
+}
