--- a/src/main/java/juniperusher/fleet/Connection.java
+++ b/src/main/java/juniperusher/fleet/Connection.java
@@ -135,6 +135,11 @@
         return !closed;
     }
 
+    /** Closes the connection in a later turn, for callers that are in the middle of their own work. */
+    public void closeLater(String reason) {
+        loop.schedule(0, () -> close(reason));
+    }
+
     /** Closes the connection; output that waits is dropped. */
     public void close(String reason) {
         if (closed) {
@@ -246,10 +251,9 @@
                 }
             }
         } catch (IOException e) {
-            // Closed in a later turn: the caller of send may be in the middle of its own work.
-            loop.schedule(0, () -> close(e.getMessage()));
             output.clear();
             queued = 0;
+            closeLater(e.getMessage());
             return;
         }
         updateInterest();
--- /dev/null
+++ b/src/main/java/juniperusher/fleet/FirstMap.java
@@ -0,0 +1,68 @@
+package juniperusher.fleet;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import juniperusher.shard.RelayInfo;
+import juniperusher.shard.ShardMap;
+import juniperusher.shard.ShardRange;
+
+/**
+ * The map that a fleet begins with. Each region has a run of destinations in proportion to its relays' weight; each
+ * relay owns the same number of ranges in it, spread over the run, in proportion to its weight.
+ */
+final class FirstMap {
+    private FirstMap() {}
+
+    /**
+     * The map of epoch 1.
+     *
+     * @throws IllegalArgumentException in one line, where there are fewer destinations than ranges or no relays
+     */
+    static ShardMap of(Collection<RelayInfo> relays, int destinations, int rangesPerRelay) {
+        if (relays.isEmpty()) {
+            throw new IllegalArgumentException("no relay is named");
+        }
+        if (destinations < (long) relays.size() * rangesPerRelay) {
+            throw new IllegalArgumentException("destinations = " + destinations + ": expected at least "
+                    + (long) relays.size() * rangesPerRelay + ", one for each of " + rangesPerRelay + " ranges of "
+                    + relays.size() + " relays");
+        }
+        List<RelayInfo> slots = new ArrayList<>();
+        byRegion(relays).values().forEach(region -> {
+            for (int i = 0; i < rangesPerRelay; i++) {
+                slots.addAll(region);
+            }
+        });
+        return ShardMap.of(1, 0, destinations, relays, ranges(slots, destinations));
+    }
+
+    private static Map<String, List<RelayInfo>> byRegion(Collection<RelayInfo> relays) {
+        Map<String, List<RelayInfo>> regions = new TreeMap<>();
+        for (RelayInfo relay : relays) {
+            regions.computeIfAbsent(relay.region(), name -> new ArrayList<>()).add(relay);
+        }
+        regions.values().forEach(region -> region.sort(Comparator.comparing(RelayInfo::name)));
+        return regions;
+    }
+
+    /** One range for each slot: one destination, and of the others a share in proportion to its weight. */
+    private static List<ShardRange> ranges(List<RelayInfo> slots, int destinations) {
+        long weights = slots.stream().mapToLong(RelayInfo::weight).sum();
+        long shared = destinations - slots.size();
+        List<ShardRange> ranges = new ArrayList<>(slots.size());
+        long weightBefore = 0;
+        int start = 0;
+        for (int i = 0; i < slots.size(); i++) {
+            RelayInfo owner = slots.get(i);
+            weightBefore += owner.weight();
+            int end = (int) (i + 1 + shared * weightBefore / weights);
+            ranges.add(new ShardRange(start, end, owner.region(), owner.name(), owner.zone(), 1));
+            start = end;
+        }
+        return ranges;
+    }
+}
--- a/src/main/java/juniperusher/fleet/MapFile.java
+++ b/src/main/java/juniperusher/fleet/MapFile.java
@@ -11,15 +11,17 @@
 import java.nio.file.StandardCopyOption;
 import java.nio.file.StandardOpenOption;
 import java.time.Instant;
+import java.util.Arrays;
 import java.util.Optional;
 import java.util.zip.CRC32C;
+import juniperusher.distribution.Version;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
 /**
  * The last shard map in a folder that lasts, as the file {@code shard-map}. It is written whole beside, forced to
  * disk and moved into place, so that a reader finds the old or the new one. The format: magic number, format version,
- * time of writing in ms, length, CRC32C of all that and of the snapshot, the snapshot. A file that is torn, damaged,
+ * time of writing in ms, the map's version (term and revision), length, CRC32C of all that and of the snapshot, the snapshot. A file that is torn, damaged,
  * too large or of another kind is refused with one line in the log and otherwise ignored.
  */
 public final class MapFile {
@@ -29,14 +31,14 @@
     private static final Logger LOG = LoggerFactory.getLogger(MapFile.class);
     private static final byte[] MAGIC = "JUSHMAP\n".getBytes(StandardCharsets.US_ASCII);
     private static final int VERSION = 1;
-    private static final int BEFORE_CHECKSUM = MAGIC.length + Integer.BYTES + Long.BYTES + Integer.BYTES;
+    private static final int BEFORE_CHECKSUM = MAGIC.length + 2 * Integer.BYTES + 3 * Long.BYTES;
     private static final int HEADER = BEFORE_CHECKSUM + Integer.BYTES;
 
     private final Path folder;
     private final int maxBytes;
 
-    /** A snapshot that was saved and when. */
-    public record Saved(byte[] snapshot, Instant writtenAt) {}
+    /** A map's encoded snapshot that was saved, its version and when. */
+    public record Saved(Version version, byte[] snapshot, Instant writtenAt) {}
 
     /** Why a file is refused. */
     private static final class Refused extends Exception {
@@ -85,14 +87,16 @@
         }
         byte[] magic = new byte[MAGIC.length];
         file.get(magic);
-        if (!java.util.Arrays.equals(magic, MAGIC)) {
+        if (!Arrays.equals(magic, MAGIC)) {
             throw new Refused("it is no shard map");
         }
-        int version = file.getInt();
-        if (version != VERSION) {
-            throw new Refused("its format is version " + version + ", expected " + VERSION);
+        int format = file.getInt();
+        if (format != VERSION) {
+            throw new Refused("its format is version " + format + ", expected " + VERSION);
         }
         Instant writtenAt = Instant.ofEpochMilli(file.getLong());
+        long term = file.getLong();
+        long revision = file.getLong();
         int length = file.getInt();
         int checksum = file.getInt();
         if (length != file.remaining()) {
@@ -103,7 +107,14 @@
         }
         byte[] snapshot = new byte[length];
         file.get(snapshot);
-        return new Saved(snapshot, writtenAt);
+        return new Saved(version(term, revision), snapshot, writtenAt);
+    }
+
+    private static Version version(long term, long revision) throws Refused {
+        if (term < 0 || revision < 0) {
+            throw new Refused("its version is " + term + "." + revision);
+        }
+        return new Version(term, revision);
     }
 
     private static int checksum(byte[] file) {
@@ -114,13 +125,17 @@
     }
 
     /** Saves a snapshot in place of the one before. */
-    public void write(byte[] snapshot, Instant now) throws IOException {
+    public void write(Version version, byte[] snapshot, Instant now) throws IOException {
         if (snapshot.length > maxBytes) {
             throw new IOException("a snapshot of " + snapshot.length + " bytes, expected at most " + maxBytes);
         }
         ByteBuffer file = ByteBuffer.allocate(HEADER + snapshot.length);
-        file.put(MAGIC).putInt(VERSION).putLong(now.toEpochMilli()).putInt(snapshot.length);
-        file.putInt(0).put(snapshot);
+        file.put(MAGIC).putInt(VERSION).putLong(now.toEpochMilli());
+        file.putLong(version.term())
+                .putLong(version.revision())
+                .putInt(snapshot.length)
+                .putInt(0)
+                .put(snapshot);
         file.putInt(BEFORE_CHECKSUM, checksum(file.array())).flip();
         Files.createDirectories(folder);
         // The other process of an upgrade may write at the same moment: each writes a file of its own.
--- a/src/main/java/juniperusher/settings/OperatorSettings.java
+++ b/src/main/java/juniperusher/settings/OperatorSettings.java
@@ -31,7 +31,8 @@
         JsonObject all = CheckedToml.by(OperatorSettings.class, SCHEMA).read(file, List.of());
         JsonObject storm = on(all, "storm");
         try {
-            return new OperatorSettings(storm == null ? null : storm(storm), on(all, "amqp"), on(all, "fleet"), on(all, "control"), all);
+            return new OperatorSettings(
+                    storm == null ? null : storm(storm), on(all, "amqp"), on(all, "fleet"), on(all, "control"), all);
         } catch (IllegalArgumentException e) {
             // Of two values that do not go together none is the wrong one: no line.
             throw new Mistake(file.toString(), "[storm] " + e.getMessage());
--- a/src/test/java/juniperusher/fleet/MapFileTest.java
+++ b/src/test/java/juniperusher/fleet/MapFileTest.java
@@ -11,12 +11,14 @@
 import java.time.Instant;
 import java.util.Arrays;
 import java.util.stream.Stream;
+import juniperusher.distribution.Version;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
 class MapFileTest {
     private static final Instant NOW = Instant.parse("2026-03-01T10:00:00Z");
+    private static final Version VERSION = new Version(2, 7);
     private static final byte[] SNAPSHOT = {1, 2, 3, 4, 5};
 
     @TempDir
@@ -31,10 +33,11 @@
 
     @Test
     void whatWasWrittenIsRead() throws Exception {
-        file.write(new byte[] {9}, NOW.minusSeconds(5));
-        file.write(SNAPSHOT, NOW);
+        file.write(new Version(1, 6), new byte[] {9}, NOW.minusSeconds(5));
+        file.write(VERSION, SNAPSHOT, NOW);
         MapFile.Saved saved = file.read().orElseThrow();
         assertArrayEquals(SNAPSHOT, saved.snapshot());
+        assertEquals(VERSION, saved.version());
         assertEquals(NOW, saved.writtenAt());
         try (Stream<Path> files = Files.list(folder)) {
             assertEquals(1, files.count(), "the file beside is gone");
@@ -48,7 +51,7 @@
 
     @Test
     void aFileCutAnywhereIsIgnored() throws Exception {
-        file.write(SNAPSHOT, NOW);
+        file.write(VERSION, SNAPSHOT, NOW);
         byte[] whole = Files.readAllBytes(file.path());
         for (int length = 0; length < whole.length; length++) {
             Files.write(file.path(), Arrays.copyOf(whole, length));
@@ -60,7 +63,7 @@
 
     @Test
     void everySingleDamagedBitIsSeen() throws Exception {
-        file.write(SNAPSHOT, NOW);
+        file.write(VERSION, SNAPSHOT, NOW);
         byte[] whole = Files.readAllBytes(file.path());
         for (int bit = 0; bit < whole.length * 8; bit++) {
             byte[] damaged = whole.clone();
@@ -76,8 +79,8 @@
         assertTrue(file.read().isEmpty());
         Files.write(file.path(), new byte[1000]);
         assertTrue(file.read().isEmpty());
-        file.write(SNAPSHOT, NOW);
-        assertThrows(IOException.class, () -> file.write(new byte[101], NOW));
+        file.write(VERSION, SNAPSHOT, NOW);
+        assertThrows(IOException.class, () -> file.write(VERSION, new byte[101], NOW));
         assertArrayEquals(SNAPSHOT, file.read().orElseThrow().snapshot());
     }
 }
