serve subscribes to the shard map with [fleet] on; the command control runs a control process

Need: the fleet's parts have to be reached by the operator's file, and to cost nothing without it.

The data path does not depend on the map.

Result: FleetCommandsTest runs serve and control as processes: with [fleet] off no class of fleet, shard or distribution is loaded, with it on the map is in force and saved; mistakes are one line and exit code 2.

--- a/src/main/java/juniperusher/cli/Main.java
+++ b/src/main/java/juniperusher/cli/Main.java
@@ -74,6 +74,7 @@
                 .addCommand("state", new ShowState())
                 .addCommand("selftest", new RunSelfTest())
                 .addCommand("settings", new ShowSettings())
+                .addCommand("control", new FleetCommands.RunControl())
                 .addCommand("lab", new LabCommands())
                 .addCommand("version", new ShowVersion())
                 .addCommand("help", new Help())
@@ -155,6 +156,9 @@
             if (management != null) {
                 management.operate(platform);
             }
+            AutoCloseable fleet = operator == null || operator.fleet() == null
+                    ? () -> {}
+                    : FleetCommands.join(operator.fleet(), config.name(), state, counters);
             LoggerFactory.getLogger(Main.class).info("serving on {}", config.listen());
             if (remoteWrite != null) {
                 new RemoteWrite(remoteWrite, config.name(), Math.max(1, every) * 1000L, counters::text, network)
@@ -167,6 +171,7 @@
                                     platform.drain();
                                     System.err.print(counters.text());
                                     platform.close();
+                                    fleet.close();
                                 } catch (Exception e) {
                                     System.err.println("juniperusher: at the end: " + e);
                                 }
@@ -248,7 +253,9 @@
                 for (String file : files) {
                     OperatorSettings read = SettingsFile.read(file);
                     System.out.println(file + ": right; storm is " + (read.storm() == null ? "off" : "on")
-                            + ", amqp is " + (read.amqp() == null ? "off" : "on"));
+                            + ", amqp is " + (read.amqp() == null ? "off" : "on") + ", fleet is "
+                            + (read.fleet() == null ? "off" : "on") + ", control is "
+                            + (read.control() == null ? "off" : "on"));
                 }
             } else {
                 throw new ParameterException("settings: expected 'show', 'show FILE' or 'check FILE...'");
--- a/src/main/java/juniperusher/fleet/MapFile.java
+++ b/src/main/java/juniperusher/fleet/MapFile.java
@@ -20,9 +20,10 @@
 
 /**
  * The last shard map in a folder that lasts, as the file {@code shard-map}. It is written whole beside, forced to
- * disk and moved into place, so that a reader finds the old or the new one. The format: magic number, format version,
- * time of writing in ms, the map's version (term and revision), length, CRC32C of all that and of the snapshot, the snapshot. A file that is torn, damaged,
- * too large or of another kind is refused with one line in the log and otherwise ignored.
+ * disk and moved into place, so that a reader finds the old or the new one. The format: magic number, format
+ * version, time of writing in ms, the map's version (term and revision), length, CRC32C of all that and of the
+ * snapshot, the snapshot. A file that is torn, damaged, too large or of another kind is refused with one line in the
+ * log and otherwise ignored.
  */
 public final class MapFile {
     /** The file's name in the folder. */
--- a/src/main/java/juniperusher/fleet/RelayList.java
+++ b/src/main/java/juniperusher/fleet/RelayList.java
@@ -11,7 +11,7 @@
 import java.util.regex.Pattern;
 import juniperusher.shard.RelayInfo;
 
-/** A file that names the fleet's relays, a line {@code NAME REGION ZONE WEIGHT} for each; {@code #} begins a comment. */
+/** A file that names the fleet's relays, a line {@code NAME REGION ZONE WEIGHT} for each; {@code #} is a comment. */
 final class RelayList {
     private static final Pattern NAME = Pattern.compile("[A-Za-z0-9][A-Za-z0-9._-]{0,63}");
     private static final Pattern WEIGHT = Pattern.compile("[1-9]\\d{0,5}");
--- /dev/null
+++ b/src/test/java/juniperusher/cli/FleetCommandsTest.java
@@ -0,0 +1,186 @@
+package juniperusher.cli;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.eclipsesource.json.Json;
+import com.eclipsesource.json.JsonObject;
+import java.io.InputStream;
+import java.io.InputStreamReader;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import java.util.regex.Pattern;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** The program as processes: what is loaded with the fleet off and on, and bad input of {@code control}. */
+class FleetCommandsTest {
+    private static final Pattern FLEET_CLASS = Pattern.compile("juniperusher\\.(fleet|shard|distribution)\\.\\S+");
+    private static final long PATIENCE = 60; // s
+
+    @TempDir
+    Path folder;
+
+    private final List<Process> started = new ArrayList<>();
+
+    @AfterEach
+    void end() throws InterruptedException {
+        for (Process process : started) {
+            process.destroyForcibly().waitFor(PATIENCE, TimeUnit.SECONDS);
+        }
+    }
+
+    private Process program(String log, String... arguments) throws Exception {
+        List<String> command = new ArrayList<>(List.of(
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-XX:TieredStopAtLevel=1",
+                "-Xmx128m",
+                "-Xlog:class+load:file=" + folder.resolve(log + ".classes"),
+                "-cp",
+                System.getProperty("java.class.path"),
+                "juniperusher.cli.Main"));
+        command.addAll(List.of(arguments));
+        ProcessBuilder builder = new ProcessBuilder(command);
+        builder.environment().put("RELAY_CONFIG", folder.resolve("relay.json").toString());
+        builder.environment().put("RELAY_STATE", folder.resolve("state").toString());
+        builder.redirectErrorStream(true);
+        builder.redirectOutput(folder.resolve(log).toFile());
+        Process process = builder.start();
+        started.add(process);
+        return process;
+    }
+
+    private static int unusedPort() throws Exception {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+            return socket.getLocalPort();
+        }
+    }
+
+    private int relayConfiguration() throws Exception {
+        JsonObject json;
+        try (InputStream in = Main.class.getResourceAsStream("/selftest.json")) {
+            json = Json.parse(new InputStreamReader(in, StandardCharsets.UTF_8)).asObject();
+        }
+        int port = unusedPort();
+        json.set("listen", "127.0.0.1:" + port).set("discovery", "127.0.0.1:" + unusedPort());
+        Files.writeString(folder.resolve("relay.json"), json.toString());
+        return port;
+    }
+
+    private void await(String what, Process process, String log, BooleanSupplier condition) throws Exception {
+        long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(PATIENCE);
+        while (!condition.getAsBoolean()) {
+            assertTrue(
+                    System.nanoTime() < until && process.isAlive(),
+                    () -> "in time: " + what + "; " + text(folder.resolve(log)));
+            TimeUnit.MILLISECONDS.sleep(20);
+        }
+    }
+
+    private static String text(Path file) {
+        try {
+            return Files.exists(file) ? Files.readString(file) : "";
+        } catch (java.io.IOException e) {
+            throw new java.io.UncheckedIOException(e);
+        }
+    }
+
+    private List<String> fleetClasses(String log) throws Exception {
+        try (Stream<String> lines = Files.lines(folder.resolve(log + ".classes"))) {
+            return lines.map(FLEET_CLASS::matcher)
+                    .filter(java.util.regex.Matcher::find)
+                    .map(java.util.regex.Matcher::group)
+                    .toList();
+        }
+    }
+
+    private static String metrics(int port) {
+        try (Socket socket = new Socket("127.0.0.1", port)) {
+            socket.setSoTimeout(5_000);
+            socket.getOutputStream()
+                    .write("GET /metrics HTTP/1.1\r\nHost: relay\r\nConnection: close\r\n\r\n"
+                            .getBytes(StandardCharsets.US_ASCII));
+            return new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+        } catch (java.io.IOException e) {
+            return "";
+        }
+    }
+
+    @Test
+    void withTheFleetOffServeLoadsNothingOfIt() throws Exception {
+        int port = relayConfiguration();
+        Files.writeString(folder.resolve("relay.toml"), "[storm]\n[fleet]\non = false\n");
+        Process serve = program(
+                "serve", "serve", "--settings", folder.resolve("relay.toml").toString());
+        await("the relay serves", serve, "serve", () -> metrics(port).contains("juniperusher_"));
+        assertFalse(metrics(port).contains("juniperusher_fleet"));
+        assertEquals(List.of(), fleetClasses("serve"));
+    }
+
+    @Test
+    void withTheFleetOnServeSubscribesAndShowsIt() throws Exception {
+        int port = relayConfiguration();
+        int control = unusedPort();
+        Files.writeString(folder.resolve("relays"), "relay-1 north a 1\n");
+        Files.writeString(
+                folder.resolve("control.toml"),
+                "[control]\nlisten = '127.0.0.1:" + control + "'\nstate = '" + folder.resolve("control-state")
+                        + "'\nrelays = '" + folder.resolve("relays") + "'\n");
+        Process leader = program(
+                "control",
+                "control",
+                "--settings",
+                folder.resolve("control.toml").toString());
+        await(
+                "the leader listens",
+                leader,
+                "control",
+                () -> text(folder.resolve("control")).contains("control process on"));
+        Files.writeString(
+                folder.resolve("relay.toml"),
+                "[fleet]\ncontrol = ['127.0.0.1:" + control + "']\nregion = 'north'\nzone = 'a'\n");
+        Process serve = program(
+                "serve", "serve", "--settings", folder.resolve("relay.toml").toString());
+        await("the map is in force", serve, "serve", () -> metrics(port).contains("juniperusher_fleet_map_epoch 1.0"));
+        assertTrue(metrics(port).contains("juniperusher_fleet_maps_refused 0.0"));
+        assertFalse(fleetClasses("serve").isEmpty(), "the check sees classes of the fleet where they are loaded");
+        await(
+                "the map is saved",
+                serve,
+                "serve",
+                () -> Files.exists(folder.resolve("state").resolve("shard-map")));
+    }
+
+    @Test
+    void aMistakeInTheSettingsIsOneLineAndExitCodeTwo() throws Exception {
+        Files.writeString(folder.resolve("bad.toml"), "[control]\nlisten = '127.0.0.1:70000'\nstate = 's'\n");
+        assertRefused("bad", "bad.toml", "bad.toml:2: 'control.listen' = \"127.0.0.1:70000\"");
+        Files.writeString(folder.resolve("none.toml"), "[storm]\n");
+        assertRefused("none", "none.toml", "none.toml: expected a table [control] that is on");
+        Files.writeString(
+                folder.resolve("list.toml"),
+                "[control]\nlisten = '127.0.0.1:0'\nstate = 's'\nrelays = 'no-such-file'\n".replace(":0'", ":1'"));
+        assertRefused("list", "list.toml", "'control.relays' = \"no-such-file\": there is no such file");
+    }
+
+    private void assertRefused(String log, String file, String expected) throws Exception {
+        Process control =
+                program(log, "control", "--settings", folder.resolve(file).toString());
+        assertTrue(control.waitFor(PATIENCE, TimeUnit.SECONDS));
+        String said = text(folder.resolve(log));
+        assertEquals(2, control.exitValue(), said);
+        assertTrue(said.contains(expected), said);
+        assertEquals(1, said.lines().count(), said);
+    }
+}
