--- a/src/main/java/juniperusher/fleet/ControlService.java
+++ b/src/main/java/juniperusher/fleet/ControlService.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.function.Consumer;
+import java.util.function.Function;
 import juniperusher.core.Counters;
 import juniperusher.distribution.DamagedStateException;
 import juniperusher.distribution.Limits;
@@ -18,6 +19,7 @@
 import juniperusher.distribution.Timing;
 import juniperusher.distribution.Version;
 import juniperusher.shard.ShardMap;
+import juniperusher.shard.ShardMapException;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -64,7 +66,7 @@
     }
 
     /** The same, with other ways to open connections. */
-    public static ControlService start(ControlSettings settings, java.util.function.Function<EventLoop, Dialer> dialers)
+    public static ControlService start(ControlSettings settings, Function<EventLoop, Dialer> dialers)
             throws IOException {
         ControlService service = new ControlService(settings, Timing.USUAL, limits(settings));
         service.loop.start();
@@ -208,7 +210,7 @@
         }
         try {
             return FirstMap.of(RelayList.read(settings.relays()), settings.destinations(), settings.rangesPerRelay());
-        } catch (juniperusher.shard.ShardMapException e) {
+        } catch (ShardMapException e) {
             throw new IllegalArgumentException(settings.relays() + ": " + e.getMessage(), e);
         }
     }
@@ -232,7 +234,7 @@
         if (line.equals("status")) {
             answer.accept(status());
         } else if (line.equals("metrics")) {
-            answer.accept(counters.text());
+            answer.accept(counters.text() + "# EOF");
         } else if (leader == null) {
             answer.accept("refused: this process follows; expected 'status' or 'metrics'");
         } else {
--- a/src/main/java/juniperusher/fleet/FirstMap.java
+++ b/src/main/java/juniperusher/fleet/FirstMap.java
@@ -14,7 +14,7 @@
  * The map that a fleet begins with. Each region has a run of destinations in proportion to its relays' weight; each
  * relay owns the same number of ranges in it, spread over the run, in proportion to its weight.
  */
-final class FirstMap {
+public final class FirstMap {
     private FirstMap() {}
 
     /**
@@ -22,7 +22,7 @@
      *
      * @throws IllegalArgumentException in one line, where there are fewer destinations than ranges or no relays
      */
-    static ShardMap of(Collection<RelayInfo> relays, int destinations, int rangesPerRelay) {
+    public static ShardMap of(Collection<RelayInfo> relays, int destinations, int rangesPerRelay) {
         if (relays.isEmpty()) {
             throw new IllegalArgumentException("no relay is named");
         }
--- a/src/test/java/juniperusher/ImportsTest.java
+++ b/src/test/java/juniperusher/ImportsTest.java
@@ -220,6 +220,19 @@
                             "juniperusher.Control",
                             "juniperusher.lab",
                             "org.eclipse.jetty")),
+            Map.entry(
+                    "lab/hollow",
+                    List.of(
+                            "juniperusher.core",
+                            "juniperusher.http",
+                            "juniperusher.amqp",
+                            "juniperusher.net",
+                            "juniperusher.cli",
+                            "juniperusher.sim",
+                            "juniperusher.Control",
+                            "juniperusher.settings",
+                            "juniperusher.lab.sockets",
+                            "org.eclipse.jetty")),
             Map.entry(
                     "lab/fleet",
                     List.of(
