--- a/src/main/java/juniperusher/lab/hollow/HollowFleet.java
+++ b/src/main/java/juniperusher/lab/hollow/HollowFleet.java
@@ -22,8 +22,8 @@
 import juniperusher.shard.ShardMapCodec;
 
 /**
- * Plays a {@link HollowExperiment}: starts a leader, followers and processes with hollow relays, lets changes and faults
- * happen, measures, and ends all that it has started. It runs for a bounded time.
+ * Plays a {@link HollowExperiment}: starts a leader, followers and processes with hollow relays, lets changes and
+ * faults happen, measures, and ends all that it has started. It runs for a bounded time.
  */
 public final class HollowFleet implements AutoCloseable {
     private static final double FIRST_MAP_SECONDS = 120;
@@ -44,6 +44,7 @@
     private ChangeFeed changes;
     private ShardMap firstMap;
     private long began; // ns
+    private long beganMicros;
     private long restarts;
 
     /** Something to be done at a time in seconds. */
@@ -291,6 +292,7 @@
             control.metricsAtMark = OperatorLines.metrics(control.operator);
         }
         began = System.nanoTime();
+        beganMicros = HollowHost.nowMicros();
     }
 
     // ---- what happens ----
@@ -461,7 +463,7 @@
     }
 
     private HollowReport report(double seconds) throws IOException, InterruptedException {
-        HollowReport report = new HollowReport(seconds, restarts, changes);
+        HollowReport report = new HollowReport(seconds, beganMicros, restarts, changes);
         JsonArray published = new JsonArray();
         for (long at : changes.published()) {
             published.add(at);
@@ -469,7 +471,9 @@
         List<JsonObject> answers = askAll(new JsonObject().add("do", "report").add("published", published));
         for (int i = 0; i < hosts.size(); i++) {
             Host host = hosts.get(i);
-            report.addHost(host.members.size(), answers.get(i), host.atMark, host.atEnd);
+            List<String> names =
+                    host.members.stream().map(relay -> relays.get(relay).name()).toList();
+            report.addHost(names, answers.get(i), host.atMark, host.atEnd);
         }
         for (Control control : controls) {
             if (control.child != null) {
--- a/src/main/java/juniperusher/lab/hollow/HollowHost.java
+++ b/src/main/java/juniperusher/lab/hollow/HollowHost.java
@@ -47,7 +47,7 @@
         Random random = new Random(seed);
         for (String name : names) {
             List<String> sources = HollowRelay.preferred(own, others, random);
-            relays.add(new HollowRelay(loop, name, sources, unreachable, arrivals, random.nextLong()));
+            relays.add(new HollowRelay(loop, relays.size(), name, sources, unreachable, arrivals, random.nextLong()));
         }
     }
 
@@ -181,6 +181,8 @@
         long heap = ManagementFactory.getMemoryMXBean().getHeapMemoryUsage().getUsed();
         return status().add("in_force", encoded(times.inForce()))
                 .add("catch_up", encoded(times.catchUp()))
+                .add("slowest_in_force", json(times.slowestInForce()))
+                .add("slowest_catch_up", json(times.slowestCatchUp()))
                 .add("bytes", bytes)
                 .add("most_bytes", mostBytes)
                 .add("messages", messages)
@@ -188,6 +190,14 @@
                 .add("heap", heap);
     }
 
+    private static JsonObject json(ArrivalLog.Slowest slowest) {
+        return new JsonObject()
+                .add("micros", slowest.micros())
+                .add("relay", slowest.relay())
+                .add("epoch", slowest.epoch())
+                .add("at", slowest.at());
+    }
+
     private static String encoded(Histogram histogram) {
         ByteBuffer buffer = ByteBuffer.allocate(histogram.getNeededByteBufferCapacity());
         int length = histogram.encodeIntoCompressedByteBuffer(buffer);
--- a/src/main/java/juniperusher/lab/hollow/HollowRelay.java
+++ b/src/main/java/juniperusher/lab/hollow/HollowRelay.java
@@ -18,6 +18,7 @@
     private static final int MAX_MAP_BYTES = 1 << 24;
 
     private final EventLoop loop;
+    private final int number; // in its process
     private final String name;
     private final List<String> sources;
     private final Set<String> unreachable; // shared by the relays of a process
@@ -34,12 +35,14 @@
 
     HollowRelay(
             EventLoop loop,
+            int number,
             String name,
             List<String> sources,
             Set<String> unreachable,
             ArrivalLog arrivals,
             long seed) {
         this.loop = loop;
+        this.number = number;
         this.name = name;
         this.sources = sources;
         this.unreachable = unreachable;
@@ -134,7 +137,7 @@
 
     @Override
     public void inForce(Version newer, ShardMap newMap) {
-        arrivals.add(epoch(), newMap.epoch(), HollowHost.nowMicros(), reachableSince);
+        arrivals.add(number, epoch(), newMap.epoch(), HollowHost.nowMicros(), reachableSince);
         version = newer;
         map = newMap;
     }
--- a/src/main/java/juniperusher/lab/hollow/HollowReport.java
+++ b/src/main/java/juniperusher/lab/hollow/HollowReport.java
@@ -16,6 +16,7 @@
     private static final double P99 = 99;
 
     private final double seconds;
+    private final long beganMicros;
     private final long restarts;
     private final ChangeFeed changes;
     private final Histogram inForce = ArrivalLog.histogram();
@@ -38,19 +39,38 @@
     private double busy;
     private double slow;
     private double snapshots;
+    private Slowest slowestInForce = new Slowest("", 0, 0, 0);
+    private Slowest slowestCatchUp = new Slowest("", 0, 0, 0);
+
+    /**
+     * The relay that took longest.
+     *
+     * @param at seconds from the beginning at which it was done
+     */
+    private record Slowest(String relay, long micros, long epoch, double at) {
+        String described() {
+            return relay.isEmpty() ? "none" : String.format(Locale.ROOT, "%s at %.1f s, epoch %d", relay, at, epoch);
+        }
+    }
 
     /** The run as a whole. */
     record About(
             int processes, int ranges, int mapBytes, double firstMapSeconds, double settled, double hostMemoryMb) {}
 
-    HollowReport(double seconds, long restarts, ChangeFeed changes) {
+    HollowReport(double seconds, long beganMicros, long restarts, ChangeFeed changes) {
         this.seconds = seconds;
+        this.beganMicros = beganMicros;
         this.restarts = restarts;
         this.changes = changes;
     }
 
-    void addHost(int members, JsonObject answer, ProcessUsage from, ProcessUsage to) {
+    void addHost(List<String> names, JsonObject answer, ProcessUsage from, ProcessUsage to) {
+        int members = names.size();
         relays += members;
+        slowestInForce =
+                slower(slowestInForce, names, answer.get("slowest_in_force").asObject());
+        slowestCatchUp =
+                slower(slowestCatchUp, names, answer.get("slowest_catch_up").asObject());
         inForce.add(HollowHost.decoded(answer.getString("in_force", "")));
         catchUp.add(HollowHost.decoded(answer.getString("catch_up", "")));
         bytes += answer.getLong("bytes", 0);
@@ -64,6 +84,18 @@
         mostHeap = Math.max(mostHeap, answer.getLong("heap", 0) / MEGABYTE / members);
     }
 
+    private Slowest slower(Slowest known, List<String> names, JsonObject told) {
+        int relay = told.getInt("relay", -1);
+        if (relay < 0 || told.getLong("micros", 0) <= known.micros()) {
+            return known;
+        }
+        return new Slowest(
+                names.get(relay),
+                told.getLong("micros", 0),
+                told.getLong("epoch", 0),
+                HollowHost.seconds(told.getLong("at", 0) - beganMicros));
+    }
+
     void addControl(
             boolean leader,
             ProcessUsage from,
@@ -134,8 +166,9 @@
     private String described(HollowExperiment experiment, About about) {
         return String.format(
                 Locale.ROOT,
-                "seed %d: %d relays in %d regions of %d zones, %d control processes, %d processes in all; %d destinations in "
-                        + "%d ranges, a map of %d bytes; %.1f s",
+                "seed %d: %d relays in %d regions of %d zones, %d control processes, %d processes in all; "
+                        + "%d destinations in %d ranges, a map of %d bytes; %.1f s%n"
+                        + "slowest change: %s; slowest return: %s",
                 experiment.seed(),
                 relays,
                 experiment.regions(),
@@ -145,7 +178,9 @@
                 experiment.destinations(),
                 about.ranges(),
                 about.mapBytes(),
-                seconds);
+                seconds,
+                slowestInForce.described(),
+                slowestCatchUp.described());
     }
 
     private static double at(Histogram histogram, double percentile) {
