--- a/src/main/java/juniperusher/distribution/Publisher.java
+++ b/src/main/java/juniperusher/distribution/Publisher.java
@@ -130,7 +130,7 @@
         }
     }
 
-    /** A publisher without a state, which tells all who subscribe to come again. */
+    /** A publisher without a state: who subscribes waits for it, and is told that it is not current. */
     public Publisher(Timing timing, Limits limits, StateCodec<S> codec, long seed) {
         this.timing = timing;
         this.limits = limits;
@@ -303,8 +303,8 @@
         if (older != null) {
             close(older, steps); // half open: its subscriber has given it up
         }
-        if (state == null || subscriptions.size() >= limits.subscribers()) {
-            refuse(connection, limits.retryAfter() * (1 + random.nextDouble()) / 2, steps);
+        if (subscriptions.size() >= limits.subscribers()) {
+            refuse(connection, timing.heartbeat() * (1 + random.nextDouble()), steps); // another one may have room
             return;
         }
         Subscription subscription = new Subscription(connection, subscribe.subscriber(), subscribe.has());
--- a/src/main/java/juniperusher/distribution/Subscriber.java
+++ b/src/main/java/juniperusher/distribution/Subscriber.java
@@ -258,7 +258,8 @@
             take(heartbeat, steps);
         } else if (message instanceof ControlMessage.Busy busy) {
             double jitter = random.nextDouble() * timing.firstPause();
-            breakOff(Reason.BUSY, busy.retryAfter() + jitter, steps); // the told wait is kept in full
+            // The told wait is kept in full.
+            breakOff(Reason.BUSY, Math.max(busy.retryAfter() + jitter, pause()), steps);
         } else {
             breakOff(Reason.PROTOCOL, steps);
         }
@@ -288,7 +289,7 @@
             moveAt = NEVER;
             failures = heartbeat.newest().isAfter(version) ? failures : 0;
         } else if (moveAt == NEVER && sources.size() > 1) {
-            moveAt = now + timing.tooStale() * (1 + random.nextDouble());
+            moveAt = now + timing.silence() * random.nextDouble(); // not all of them together
         }
     }
 
--- a/src/main/java/juniperusher/distribution/Timing.java
+++ b/src/main/java/juniperusher/distribution/Timing.java
@@ -22,7 +22,7 @@
         double tooStale,
         double batch) {
     /** Leaves 13 s room for a killed control process: silence, pauses and a second attempt take under 8 s. */
-    public static final Timing USUAL = new Timing(1, 3, 10, 2, 0.5, 8, 6, 0.1);
+    public static final Timing USUAL = new Timing(1, 3, 10, 2, 0.5, 8, 5, 0.1);
 
     /** Checks that the times fit each other. */
     public Timing {
--- a/src/main/java/juniperusher/lab/fleet/OwnershipWorld.java
+++ b/src/main/java/juniperusher/lab/fleet/OwnershipWorld.java
@@ -4,7 +4,6 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.PriorityQueue;
 import java.util.SplittableRandom;
 import juniperusher.ownership.Holding;
 import juniperusher.ownership.Lease;
@@ -34,19 +33,10 @@
     private final TokenChecker checker = new TokenChecker();
     private final Timeline timeline;
     private final Map<String, Node> nodes = new LinkedHashMap<>();
-    private final PriorityQueue<Event> events = new PriorityQueue<>();
+    private final EventQueue events = new EventQueue();
     private final SplittableRandom random;
-    private double now;
-    private long order;
     private boolean storeDown;
 
-    private record Event(double at, long order, Runnable what) implements Comparable<Event> {
-        @Override
-        public int compareTo(Event other) {
-            return at != other.at ? Double.compare(at, other.at) : Long.compare(order, other.order);
-        }
-    }
-
     /** What is between a process and the store. */
     private static final class Way {
         boolean cut; // nothing passes
@@ -75,7 +65,7 @@
         }
 
         double clock() {
-            return offset + now * rate;
+            return offset + now() * rate;
         }
 
         void start() {
@@ -90,7 +80,7 @@
         /** Guards what is out from a life that is over: its answers come to nobody. */
         void later(double delay, Runnable what) {
             int of = life;
-            at(now + delay, () -> {
+            events.at(now() + delay, () -> {
                 if (alive && life == of) {
                     if (stopped) {
                         waiting.add(what);
@@ -106,18 +96,18 @@
                 if (step instanceof Step.Ask ask) {
                     send(this, ask.request(), reply -> carryOut(lease.answered(ask.number(), reply, clock())));
                 } else if (step instanceof Step.Held held) {
-                    timeline.add(now, name, "owns " + held.holding().token());
+                    timeline.add(now(), name, "owns " + held.holding().token());
                 } else if (step instanceof Step.Doubted) {
-                    timeline.add(now, name, "in doubt");
+                    timeline.add(now(), name, "in doubt");
                 } else if (step instanceof Step.Lost) {
-                    timeline.add(now, name, "lost");
+                    timeline.add(now(), name, "lost");
                 }
             }
             believe();
-            double due = now + (lease.due() - clock()) / rate;
+            double due = now() + (lease.due() - clock()) / rate;
             if (due < wakeAt) {
                 wakeAt = due;
-                later(Math.max(0, due - now), this::wake);
+                later(Math.max(0, due - now()), this::wake);
             }
         }
 
@@ -129,15 +119,15 @@
         void believe() {
             boolean holds = !stopped && alive && lease.holds(clock());
             owns = holds;
-            checker.believes(now, THING, name, holds ? lease.holding().token() : 0);
-            if (holds && now >= actedAt + ACT) {
+            checker.believes(now(), THING, name, holds ? lease.holding().token() : 0);
+            if (holds && now() >= actedAt + ACT) {
                 act();
             }
         }
 
         /** Something on behalf of the fleet: counts only if the store lets the token pass. */
         void act() {
-            actedAt = now;
+            actedAt = now();
             Holding holding = lease.holding();
             send(
                     this,
@@ -180,8 +170,8 @@
         nodes.values().forEach(Node::start);
     }
 
-    private void at(double when, Runnable what) {
-        events.add(new Event(when, order++, what));
+    private double now() {
+        return events.now();
     }
 
     private void send(Node from, Request request, Answer answer) {
@@ -189,18 +179,18 @@
             return;
         }
         double back = from.way.delay;
-        at(now + from.way.delay, () -> {
+        events.at(now() + from.way.delay, () -> {
             if (storeDown) {
                 return;
             }
-            Reply reply = store.answer(request, now);
+            Reply reply = store.answer(request, now());
             if (reply instanceof Reply.Done done
                     && done.succeeded()
                     && request instanceof Request.Txn txn
                     && !txn.then().isEmpty()
                     && txn.then().get(0) instanceof Op.Put put
                     && put.key().equals(MARK)) {
-                checker.acted(now, THING, from.name, txn.compare().get(0).number());
+                checker.acted(now(), THING, from.name, txn.compare().get(0).number());
             }
             if (!from.way.deaf && !from.way.cut) {
                 from.later(back, () -> answer.heard(reply));
@@ -212,25 +202,25 @@
 
     /** Nothing passes between the process and the store, or does so again. */
     public void cut(String node, boolean cut) {
-        timeline.add(now, node, cut ? "cut off" : "reached again");
+        timeline.add(now(), node, cut ? "cut off" : "reached again");
         nodes.get(node).way.cut = cut;
     }
 
     /** What the process asks is done and it does not hear so, or does again. */
     public void deaf(String node, boolean deaf) {
-        timeline.add(now, node, deaf ? "answers lost" : "answers heard");
+        timeline.add(now(), node, deaf ? "answers lost" : "answers heard");
         nodes.get(node).way.deaf = deaf;
     }
 
     /** Each way takes so long. */
     public void slow(String node, double seconds) {
-        timeline.add(now, node, "each way " + seconds + " s");
+        timeline.add(now(), node, "each way " + seconds + " s");
         nodes.get(node).way.delay = seconds;
     }
 
     /** SIGSTOP: it stands still, and believes on waking what it believed before. */
     public void stop(String node) {
-        timeline.add(now, node, "SIGSTOP");
+        timeline.add(now(), node, "SIGSTOP");
         nodes.get(node).stopped = true;
         nodes.get(node).believe();
     }
@@ -241,7 +231,7 @@
         if (!one.stopped || !one.alive) {
             return;
         }
-        timeline.add(now, node, "SIGCONT");
+        timeline.add(now(), node, "SIGCONT");
         one.stopped = false;
         one.believe();
         List<Runnable> waiting = List.copyOf(one.waiting);
@@ -252,7 +242,7 @@
 
     /** SIGKILL. */
     public void kill(String node) {
-        timeline.add(now, node, "SIGKILL");
+        timeline.add(now(), node, "SIGKILL");
         nodes.get(node).alive = false;
         nodes.get(node).believe();
     }
@@ -260,7 +250,7 @@
     /** Another life of a process that was killed. */
     public void start(String node) {
         if (!nodes.get(node).alive) {
-            timeline.add(now, node, "starts");
+            timeline.add(now(), node, "starts");
             nodes.get(node).start();
         }
     }
@@ -270,29 +260,25 @@
      * anew.
      */
     public void storeDown(boolean down) {
-        timeline.add(now, "store", down ? "down" : "back");
+        timeline.add(now(), "store", down ? "down" : "back");
         if (!down && storeDown) {
-            store.restarted(now);
+            store.restarted(now());
         }
         storeDown = down;
     }
 
     /** A lease ends before its time, by the store's fault. */
     public void endEarly() {
-        timeline.add(now, "store", "ends leases early");
+        timeline.add(now(), "store", "ends leases early");
         checker.leasesBroken();
         store.leases().forEach(store::end);
     }
 
     /** Plays until then, in seconds. */
     public void run(double until) {
-        while (!events.isEmpty() && events.peek().at() <= until) {
-            Event event = events.poll();
-            now = event.at();
-            event.what().run();
+        while (events.playNext(until)) {
             nodes.values().forEach(Node::believe);
         }
-        now = until;
     }
 
     /** What happened. */
--- /dev/null
+++ b/src/test/java/juniperusher/distribution/DeltaLogTest.java
@@ -0,0 +1,84 @@
+package juniperusher.distribution;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.api.Test;
+
+class DeltaLogTest {
+    private static final String SEED = "20261202";
+    private static final int PLENTY = 1 << 20;
+
+    private static DeltaLog log(int most, int changes) {
+        DeltaLog log = new DeltaLog(most, PLENTY);
+        log.reset(new Version(1, 10));
+        for (int i = 1; i <= changes; i++) {
+            log.append(new Change(new Version(1, 10 + i), new byte[i]));
+        }
+        return log;
+    }
+
+    /** However many were appended, the last ones are there and no others. */
+    @Property(tries = 300, seed = SEED)
+    void keepsTheLastOnes(@ForAll @IntRange(min = 1, max = 100) int most, @ForAll @IntRange(max = 400) int changes) {
+        DeltaLog log = log(most, changes);
+        int kept = Math.min(most, changes);
+        assertEquals(kept, log.count());
+        for (int behind = 0; behind <= kept; behind++) {
+            Version version = new Version(1, 10 + changes - behind);
+            assertTrue(log.covers(version));
+            List<Change> since = log.since(version, PLENTY);
+            assertEquals(behind, since.size());
+            for (int i = 0; i < behind; i++) {
+                assertEquals(version.revision() + 1 + i, since.get(i).version().revision());
+                assertEquals(version.revision() + 1 + i - 10, since.get(i).delta().length);
+            }
+        }
+        assertFalse(log.covers(new Version(1, 10 + changes - kept - 1)));
+        assertFalse(log.covers(new Version(1, 10 + changes + 1)));
+    }
+
+    @Test
+    void keepsToItsBytes() {
+        DeltaLog log = new DeltaLog(1_000, 500);
+        log.reset(new Version(1, 1));
+        for (int i = 2; i < 200; i++) {
+            log.append(new Change(new Version(1, i), new byte[100]));
+            assertTrue(log.bytes() <= 500);
+        }
+        assertEquals(4, log.count());
+    }
+
+    /** Of another leader's changes none is served, though the revision is the same. */
+    @Test
+    void theSameRevisionOfAnotherTermIsNotCovered() {
+        DeltaLog log = log(100, 3);
+        log.append(new Change(new Version(2, 14), new byte[0]));
+        log.append(new Change(new Version(2, 15), new byte[1]));
+        assertTrue(log.covers(new Version(1, 13)));
+        assertTrue(log.covers(new Version(2, 14)));
+        assertFalse(log.covers(new Version(1, 14)));
+        assertThrows(IllegalArgumentException.class, () -> log.since(new Version(1, 14), PLENTY));
+    }
+
+    @Test
+    void aDeltaHasAsMuchAsFitsAndOneAtLeast() {
+        DeltaLog log = log(100, 20);
+        assertEquals(1, log.since(new Version(1, 10), 1).size());
+        assertEquals(3, log.since(new Version(1, 10), 3 * 12 + 6).size());
+        assertEquals(20, log.since(new Version(1, 10), PLENTY).size());
+    }
+
+    @Test
+    void whatDoesNotFollowIsRefused() {
+        DeltaLog log = log(100, 1);
+        assertThrows(IllegalArgumentException.class, () -> log.append(new Change(new Version(1, 13), new byte[0])));
+        assertThrows(IllegalArgumentException.class, () -> log.append(new Change(new Version(0, 12), new byte[0])));
+    }
+}
