--- a/src/main/java/juniperusher/distribution/ControlMessage.java
+++ b/src/main/java/juniperusher/distribution/ControlMessage.java
@@ -15,9 +15,10 @@
      * First message of a connection, from the subscriber.
      *
      * @param subscriber its name, for logs
+     * @param republishes whether it passes on what it gets: then it does not wait behind those that do not
      * @param has what it holds, {@link Version#NONE} for nothing or to get the whole state
      */
-    record Subscribe(String subscriber, long term, Version has) implements ControlMessage {}
+    record Subscribe(String subscriber, boolean republishes, long term, Version has) implements ControlMessage {}
 
     /**
      * One part of a whole state; parts come in their order.
@@ -26,6 +27,11 @@
      */
     record SnapshotPart(long term, Version version, int part, int parts, int checksum, byte[] bytes)
             implements ControlMessage {
+        /** The same part from a sender that has seen another term. */
+        SnapshotPart inTerm(long other) {
+            return new SnapshotPart(other, version, part, parts, checksum, bytes);
+        }
+
         @Override
         public boolean equals(Object other) {
             return other instanceof SnapshotPart one
@@ -78,9 +84,10 @@
      * @param newest the newest version that it has
      * @param sent the version that the subscriber has once it has all that was sent on this connection
      * @param age seconds for which the publisher may itself be out of date; infinite if it does not know
-     * @param acknowledged the greatest {@link Acknowledge#received} that it has heard on this connection, 0 for none
+     * @param acknowledged the last {@link Acknowledge#received} that it has heard on this connection, 0 for none
+     * @param since seconds between its hearing that, or the subscription, and this message
      */
-    record Heartbeat(long term, Version newest, Version sent, double age, long acknowledged)
+    record Heartbeat(long term, Version newest, Version sent, double age, long acknowledged, double since)
             implements ControlMessage {}
 
     /** The publisher cannot serve the subscriber now; it closes the connection. Not to be asked before. */
--- a/src/main/java/juniperusher/distribution/ControlMessageCodec.java
+++ b/src/main/java/juniperusher/distribution/ControlMessageCodec.java
@@ -49,7 +49,7 @@
 
     private static int contentSize(ControlMessage message) {
         if (message instanceof ControlMessage.Subscribe subscribe) {
-            return VERSION_BYTES + 1 + name(subscribe).length;
+            return VERSION_BYTES + 2 + name(subscribe).length;
         } else if (message instanceof ControlMessage.SnapshotPart part) {
             return VERSION_BYTES + 3 * Integer.BYTES + part.bytes().length;
         } else if (message instanceof ControlMessage.Delta delta) {
@@ -59,7 +59,7 @@
             }
             return size;
         } else if (message instanceof ControlMessage.Heartbeat) {
-            return 2 * VERSION_BYTES + Double.BYTES + Long.BYTES;
+            return 2 * VERSION_BYTES + Double.BYTES + Long.BYTES + Double.BYTES;
         } else if (message instanceof ControlMessage.Busy) {
             return Double.BYTES;
         }
@@ -88,7 +88,8 @@
         out.putInt(size - LENGTH_BYTES).put(PROTOCOL_VERSION).put(type(message)).putLong(message.term());
         if (message instanceof ControlMessage.Subscribe subscribe) {
             byte[] name = name(subscribe);
-            put(out, subscribe.has()).put((byte) name.length).put(name);
+            put(out, subscribe.has()).put((byte) (subscribe.republishes() ? 1 : 0));
+            out.put((byte) name.length).put(name);
         } else if (message instanceof ControlMessage.SnapshotPart part) {
             put(out, part.version()).putInt(part.part()).putInt(part.parts());
             out.putInt(part.checksum()).put(part.bytes());
@@ -100,7 +101,7 @@
             }
         } else if (message instanceof ControlMessage.Heartbeat heartbeat) {
             put(put(out, heartbeat.newest()), heartbeat.sent());
-            out.putDouble(heartbeat.age()).putLong(heartbeat.acknowledged());
+            out.putDouble(heartbeat.age()).putLong(heartbeat.acknowledged()).putDouble(heartbeat.since());
         } else if (message instanceof ControlMessage.Busy busy) {
             out.putDouble(busy.retryAfter());
         } else if (message instanceof ControlMessage.Acknowledge acknowledge) {
@@ -143,6 +144,11 @@
         private int start;
         private int end;
 
+        /** Takes a piece of the connection's bytes; whole messages are to be asked for before more is fed. */
+        public void feed(byte[] piece) {
+            feed(ByteBuffer.wrap(piece));
+        }
+
         /** Takes the buffer's remaining bytes; whole messages are to be asked for before more is fed. */
         public void feed(ByteBuffer piece) {
             int more = piece.remaining();
@@ -221,7 +227,8 @@
                 new ControlMessage.SnapshotPart(
                         term, version(in), in.getInt(), in.getInt(), in.getInt(), bytes(in, in.remaining()));
             case DELTA -> delta(term, in);
-            case HEARTBEAT -> new ControlMessage.Heartbeat(term, version(in), version(in), seconds(in), in.getLong());
+            case HEARTBEAT ->
+                new ControlMessage.Heartbeat(term, version(in), version(in), seconds(in), in.getLong(), seconds(in));
             case BUSY -> new ControlMessage.Busy(term, seconds(in));
             case ACKNOWLEDGE -> new ControlMessage.Acknowledge(term, version(in), in.getLong());
             default -> throw new DamagedFrameException(Fault.TYPE, "a message of type " + type + ", not 1 to 6");
@@ -230,8 +237,12 @@
 
     private static ControlMessage.Subscribe subscribe(long term, ByteBuffer in) {
         Version has = version(in);
-        byte[] name = bytes(in, Byte.toUnsignedInt(in.get()));
-        return new ControlMessage.Subscribe(new String(name, StandardCharsets.UTF_8), term, has);
+        byte republishes = in.get();
+        if (republishes != 0 && republishes != 1) {
+            throw new IllegalArgumentException("a flag of " + republishes);
+        }
+        String name = new String(bytes(in, Byte.toUnsignedInt(in.get())), StandardCharsets.UTF_8);
+        return new ControlMessage.Subscribe(name, republishes == 1, term, has);
     }
 
     private static ControlMessage.Delta delta(long term, ByteBuffer in) {
--- a/src/main/java/juniperusher/distribution/ControlProcess.java
+++ b/src/main/java/juniperusher/distribution/ControlProcess.java
@@ -29,6 +29,7 @@
 
     /** Joins the two; the subscriber has no state and no sources yet, and the publisher no state. */
     public ControlProcess(Subscriber<S> subscriber, Publisher<S> publisher) {
+        subscriber.republishes();
         this.subscriber = subscriber;
         this.publisher = publisher;
     }
--- a/src/main/java/juniperusher/distribution/Limits.java
+++ b/src/main/java/juniperusher/distribution/Limits.java
@@ -1,9 +1,10 @@
 package juniperusher.distribution;
 
 /**
- * Bounds of a publisher's memory and work.
+ * Bounds of a publisher's memory and work. Control processes are served beyond the bounds on subscribers and on whole
+ * states at once, as relays wait for them; they are few.
  *
- * @param subscribers the most at once
+ * @param subscribers the most relays at once
  * @param windowBytes bytes that may be on their way to one subscriber when another message is sent
  * @param windowMessages messages that may be on their way to one subscriber
  * @param partBytes the most bytes of a state in one message
--- a/src/main/java/juniperusher/distribution/Publisher.java
+++ b/src/main/java/juniperusher/distribution/Publisher.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -29,7 +30,7 @@
     private static final double NEVER = Double.POSITIVE_INFINITY;
     private static final int SHARED_DELTAS = 16;
     private static final double SMOOTHING = 0.2; // of the time that a whole state takes
-    private static final double FIRST_ESTIMATE = 1; // s
+    private static final double FIRST_ESTIMATE = 0.25; // s
 
     private final Timing timing;
     private final Limits limits;
@@ -104,7 +105,7 @@
             int snapshotsUnderWay) {}
 
     /** An encoded state. */
-    private record Image(Version version, byte[] bytes, int checksum, int parts) {}
+    private record Image(Version version, List<ControlMessage.SnapshotPart> parts, int bytes) {}
 
     /** A message on its way. */
     private record Sent(long number, int bytes) {}
@@ -113,6 +114,7 @@
     private static final class Subscription {
         final long connection;
         final String name;
+        final boolean republishes;
         Version sent; // the version that it has once it has all that was sent
         Image snapshot; // under way to it, or null
         int nextPart;
@@ -121,12 +123,15 @@
         int inFlightBytes;
         long messages;
         long acknowledged;
+        double heardAt; // when the last acknowledgement came, or the subscription
+        boolean confirmed; // whether it was told of its being current once it was
         double progressAt; // when something was acknowledged, or sent while nothing was on its way
 
-        Subscription(long connection, String name, Version has) {
+        Subscription(long connection, ControlMessage.Subscribe subscribe) {
             this.connection = connection;
-            this.name = name;
-            sent = has;
+            name = subscribe.subscriber();
+            republishes = subscribe.republishes();
+            sent = subscribe.has();
         }
     }
 
@@ -303,16 +308,18 @@
         if (older != null) {
             close(older, steps); // half open: its subscriber has given it up
         }
-        if (subscriptions.size() >= limits.subscribers()) {
+        if (!subscribe.republishes() && subscriptions.size() >= limits.subscribers()) {
             refuse(connection, timing.heartbeat() * (1 + random.nextDouble()), steps); // another one may have room
             return;
         }
-        Subscription subscription = new Subscription(connection, subscribe.subscriber(), subscribe.has());
+        Subscription subscription = new Subscription(connection, subscribe);
         subscriptions.put(connection, subscription);
         connections.put(subscription.name, connection);
         if (heartbeatAt == NEVER) {
             heartbeatAt = now + timing.heartbeat();
         }
+        subscription.heardAt = now;
+        subscription.confirmed = !newest().isAfter(subscription.sent);
         heartbeat(subscription, steps);
         serve(subscription, steps);
     }
@@ -320,12 +327,17 @@
     private void acknowledged(
             Subscription subscription, ControlMessage.Acknowledge acknowledge, List<PublisherStep> steps) {
         long upTo = Math.min(acknowledge.received(), subscription.messages);
-        subscription.acknowledged = Math.max(subscription.acknowledged, upTo);
+        subscription.acknowledged = acknowledge.received();
+        subscription.heardAt = now;
         while (!subscription.inFlight.isEmpty() && subscription.inFlight.peek().number() <= upTo) {
             subscription.inFlightBytes -= subscription.inFlight.poll().bytes();
             subscription.progressAt = now;
         }
         serve(subscription, steps);
+        if (!subscription.confirmed && subscription.inFlight.isEmpty() && !newest().isAfter(subscription.sent)) {
+            subscription.confirmed = true; // so that it knows at once, and not at the next heartbeat
+            heartbeat(subscription, steps);
+        }
     }
 
     private void refuse(long connection, double retryAfter, List<PublisherStep> steps) {
@@ -393,7 +405,8 @@
     }
 
     private void heartbeat(Subscription to, List<PublisherStep> steps) {
-        send(to, new ControlMessage.Heartbeat(term, newest(), to.sent, age(now), to.acknowledged), steps);
+        double since = now - to.heardAt;
+        send(to, new ControlMessage.Heartbeat(term, newest(), to.sent, age(now), to.acknowledged, since), steps);
     }
 
     /** Sends what the subscriber lacks while its window has room. */
@@ -428,14 +441,11 @@
     }
 
     private boolean beginSnapshot(Subscription to) {
-        if (snapshotsUnderWay() >= limits.snapshotsAtOnce()) {
+        if (!to.republishes && snapshotsUnderWay() >= limits.snapshotsAtOnce()) {
             return false;
         }
         if (image == null || !image.version().isAfter(to.sent)) {
-            byte[] bytes = codec.encode(state);
-            int parts = Math.max(1, (bytes.length + limits.partBytes() - 1) / limits.partBytes());
-            image = new Image(newest(), bytes, ControlMessageCodec.checksum(bytes, 0, bytes.length), parts);
-            counters.encoded++;
+            image = encoded();
         }
         counters.snapshots++;
         to.snapshot = image;
@@ -444,21 +454,29 @@
         return true;
     }
 
+    private Image encoded() {
+        counters.encoded++;
+        byte[] bytes = codec.encode(state);
+        int checksum = ControlMessageCodec.checksum(bytes, 0, bytes.length);
+        int count = Math.max(1, (bytes.length + limits.partBytes() - 1) / limits.partBytes());
+        List<ControlMessage.SnapshotPart> parts = new ArrayList<>();
+        for (int part = 0; part < count; part++) {
+            int from = part * limits.partBytes();
+            byte[] piece = Arrays.copyOfRange(bytes, from, Math.min(bytes.length, from + limits.partBytes()));
+            parts.add(new ControlMessage.SnapshotPart(term, newest(), part, count, checksum, piece));
+        }
+        return new Image(newest(), parts, bytes.length);
+    }
+
     private void sendPart(Subscription to, List<PublisherStep> steps) {
         if (to.snapshot != image) {
             to.snapshot = null; // replaced by a newer one, and with it the changes that follow it
             return;
         }
-        int from = to.nextPart * limits.partBytes();
-        int until = Math.min(image.bytes().length, from + limits.partBytes());
-        byte[] bytes = java.util.Arrays.copyOfRange(image.bytes(), from, until);
-        send(
-                to,
-                new ControlMessage.SnapshotPart(
-                        term, image.version(), to.nextPart, image.parts(), image.checksum(), bytes),
-                steps);
+        ControlMessage.SnapshotPart part = image.parts().get(to.nextPart);
+        send(to, part.term() == term ? part : part.inTerm(term), steps);
         to.nextPart++;
-        if (to.nextPart == image.parts()) {
+        if (to.nextPart == image.parts().size()) {
             to.sent = image.version();
             to.snapshot = null;
             snapshotEstimate += SMOOTHING * (now - to.snapshotAt - snapshotEstimate);
@@ -478,7 +496,9 @@
     private int snapshotsUnderWay() {
         int count = 0;
         for (Subscription subscription : subscriptions.values()) {
-            if (subscription.snapshot != null && now < subscription.snapshotAt + limits.snapshotSeconds()) {
+            if (subscription.snapshot != null
+                    && !subscription.republishes
+                    && now < subscription.snapshotAt + limits.snapshotSeconds()) {
                 count++;
             }
         }
@@ -545,7 +565,7 @@
                 most,
                 log.count(),
                 log.bytes(),
-                image == null ? 0 : image.bytes().length,
+                image == null ? 0 : image.bytes(),
                 snapshotsUnderWay());
     }
 }
--- a/src/main/java/juniperusher/distribution/Subscriber.java
+++ b/src/main/java/juniperusher/distribution/Subscriber.java
@@ -14,7 +14,7 @@
  * checked; until then, and whatever is damaged or lost, the one before stays in force. Versions only grow.
  *
  * <p>It knows for how long its state may have been out of date: a heartbeat tells how old the source's own knowledge
- * is and which acknowledgement the source had heard when it sent it, and the time counts from when that
+ * is, which acknowledgement the source had heard last and how long before, and the time counts from when that
  * acknowledgement was sent. So however long a message was on its way, the staleness is never told too small.
  *
  * <p>How an adapter drives it: on one thread; {@link #start} with the sources in order of preference, then the steps
@@ -36,6 +36,7 @@
     private final SplittableRandom random;
     private final Map<Reason, Long> breaks = new EnumMap<>(Reason.class);
     private final ArrayDeque<Acknowledged> acknowledged = new ArrayDeque<>();
+    private boolean republishes;
     private List<String> sources = List.of();
     private Phase phase = Phase.IDLE;
     private Version version = Version.NONE;
@@ -99,6 +100,11 @@
         random = new SplittableRandom(seed);
     }
 
+    /** The process passes on what it gets: it pauses less, as others wait for it. */
+    void republishes() {
+        republishes = true;
+    }
+
     // ---- what the process wants ----
 
     /**
@@ -164,7 +170,7 @@
         acknowledged.clear();
         acknowledged.add(new Acknowledged(0, time));
         Version has = wholeWanted ? Version.NONE : version;
-        steps.add(new SubscriberStep.Send<>(connection, new ControlMessage.Subscribe(name, term, has)));
+        steps.add(new SubscriberStep.Send<>(connection, new ControlMessage.Subscribe(name, republishes, term, has)));
         return steps;
     }
 
@@ -230,7 +236,8 @@
 
     /** Doubled with each failure up to the longest one, less a random half. */
     private double pause() {
-        double longest = Math.min(timing.longestPause(), timing.firstPause() * Math.pow(2, failures));
+        double most = republishes ? timing.longestControlPause() : timing.longestPause();
+        double longest = Math.min(most, timing.firstPause() * Math.pow(2, failures));
         return longest * (1 + random.nextDouble()) / 2;
     }
 
@@ -281,9 +288,9 @@
             breakOff(Reason.GAP, steps);
             return;
         }
-        double heard = acknowledgedAt(heartbeat.acknowledged());
+        double heard = sentAt(heartbeat.acknowledged());
         if (!heartbeat.newest().isAfter(version)) {
-            currentAt = Math.max(currentAt, heard - heartbeat.age());
+            currentAt = Math.max(currentAt, heard + heartbeat.since() - heartbeat.age());
         }
         if (heartbeat.age() <= timing.tooStale()) {
             moveAt = NEVER;
@@ -293,26 +300,18 @@
         }
     }
 
-    /** When the newest acknowledgement was sent of those that the source had heard. */
-    private double acknowledgedAt(long heard) {
+    /** When that acknowledgement was sent, or the newest one before it whose time is known. */
+    private double sentAt(long number) {
         double at = Double.NEGATIVE_INFINITY;
-        while (!acknowledged.isEmpty() && acknowledged.peek().received() <= heard) {
-            at = acknowledged.peek().at();
-            if (acknowledged.size() == 1 || secondIsLater(heard)) {
-                break; // it may be the newest one for a while
-            }
-            acknowledged.poll();
+        while (!acknowledged.isEmpty() && acknowledged.peek().received() <= number) {
+            at = acknowledged.poll().at();
+        }
+        if (at > Double.NEGATIVE_INFINITY) {
+            acknowledged.addFirst(new Acknowledged(number, at)); // the next heartbeat may name it again
         }
         return at;
     }
 
-    private boolean secondIsLater(long heard) {
-        Acknowledged first = acknowledged.poll();
-        boolean later = acknowledged.peek().received() > heard;
-        acknowledged.addFirst(first);
-        return later;
-    }
-
     private void take(ControlMessage.Delta delta, List<SubscriberStep<S>> steps) {
         if (!delta.to().isAfter(version)) {
             doubled++;
--- a/src/main/java/juniperusher/distribution/Timing.java
+++ b/src/main/java/juniperusher/distribution/Timing.java
@@ -8,7 +8,8 @@
  * @param acknowledgePatience without progress in acknowledgements after which a publisher closes a connection
  * @param connectPatience after which an attempt to connect is given up
  * @param firstPause the longest pause before the first new attempt; doubled with each failure
- * @param longestPause the longest pause before any attempt
+ * @param longestPause the longest pause of a relay before any attempt
+ * @param longestControlPause the same of a control process, of which there are few and for which relays wait
  * @param tooStale the age of a publisher beyond which its subscriber looks for another one
  * @param batch the shortest time between two deltas to one subscriber, so that changes of a burst share frames
  */
@@ -19,23 +20,28 @@
         double connectPatience,
         double firstPause,
         double longestPause,
+        double longestControlPause,
         double tooStale,
         double batch) {
     /** Leaves 13 s room for a killed control process: silence, pauses and a second attempt take under 8 s. */
-    public static final Timing USUAL = new Timing(1, 3, 10, 2, 0.5, 8, 5, 0.1);
+    public static final Timing USUAL = new Timing(1, 3, 10, 2, 0.5, 6, 1, 4, 0.1);
 
     /** Checks that the times fit each other. */
     public Timing {
         if (!(heartbeat > 0 && silence > 2 * heartbeat && acknowledgePatience > silence)) {
-            throw new IllegalArgumentException(
-                    "silence has to be longer than two heartbeats, and the patience with acknowledgements longer still");
+            throw new IllegalArgumentException("silence has to be longer than two heartbeats,"
+                    + " and the patience with acknowledgements longer still");
         }
-        if (!(firstPause > 0 && longestPause >= firstPause && connectPatience > 0 && batch >= 0)) {
+        if (!(firstPause > 0
+                && longestPause >= firstPause
+                && longestControlPause >= firstPause
+                && connectPatience > 0
+                && batch >= 0)) {
             throw new IllegalArgumentException(
-                    "pauses and patience have to be positive, the longest pause the longest");
+                    "pauses and patience have to be positive, the longest pauses the longest");
         }
         if (!(tooStale > 3 * heartbeat)) {
-            throw new IllegalArgumentException("a publisher's age is up to three heartbeats when all is well");
+            throw new IllegalArgumentException("a publisher's age may miss two heartbeats when all is well");
         }
     }
 }
