--- a/src/test/java/juniperusher/shard/ShardMapCodecTest.java
+++ b/src/test/java/juniperusher/shard/ShardMapCodecTest.java
@@ -161,6 +161,14 @@
         assertEquals("the delta was made from another map of epoch 8", refusal.getMessage());
     }
 
+    /** As when two makers of maps went on from one epoch, and the relay has to follow the other one. */
+    @Test
+    void aDeltaMayLeadToAMapThatHasNotComeFromItsBase() {
+        ShardMap one = base.next(new ShardMapStep.Move(30, "a"));
+        ShardMap other = base.next(new ShardMapStep.Move(30, "b")).next(new ShardMapStep.Split(0, 5));
+        assertEquals(other, codec.apply(one, codec.encodeDelta(one, other)));
+    }
+
     @Test
     void deltasGoForwardInOneSpaceOnly() {
         assertThrows(IllegalArgumentException.class, () -> ShardMapDelta.between(next, base));
--- /dev/null
+++ b/src/test/java/juniperusher/shard/assign/AssignmentPropertyTest.java
@@ -0,0 +1,121 @@
+package juniperusher.shard.assign;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+import juniperusher.shard.RelayInfo;
+import juniperusher.shard.ShardMap;
+import juniperusher.shard.ShardMapStep;
+import juniperusher.shard.ShardRange;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+
+/** Drawn losses and returns of relays, zones and regions, and changes of weight. jqwik prints the seed. */
+class AssignmentPropertyTest {
+    private static final String SEED = "20261202";
+    private static final int REGIONS = 3;
+    private static final int ZONES = 3;
+    private static final int RELAYS = 45;
+    private static final int HEAVIEST = 4;
+    private static final Assignment ASSIGNMENT = new Assignment(LoadBounds.USUAL);
+
+    /** What a plan may move beyond the minimum, as a part of the mean load of a relay. */
+    private static final double MOST_EXTRA = 0.25;
+
+    /** As {@link #MOST_EXTRA}, in destinations, where relays have only a few. */
+    private static final long FEW = 2;
+
+    private static List<RelayInfo> relays(boolean weighted) {
+        List<RelayInfo> relays = new ArrayList<>();
+        for (int i = 0; i < RELAYS; i++) {
+            relays.add(relay(i, weighted ? 1 + i % HEAVIEST : 1));
+        }
+        return relays;
+    }
+
+    private static RelayInfo relay(int number, int weight) {
+        int region = number % REGIONS;
+        int zone = number / REGIONS % ZONES;
+        return new RelayInfo("relay-%02d".formatted(number), "r" + region, "r" + region + "z" + zone, weight);
+    }
+
+    private static Map<String, Integer> sizes(int destinations) {
+        Map<String, Integer> sizes = new LinkedHashMap<>();
+        for (int region = 0; region < REGIONS; region++) {
+            sizes.put("r" + region, destinations * (1 + region));
+        }
+        return sizes;
+    }
+
+    /** What the code stands for: a change of the available relays, or the steps of another weight. */
+    private static ShardMap play(ShardMap map, Set<String> available, int code) {
+        RelayInfo relay = map.relays().get(code / 10 % RELAYS);
+        switch (code % 10) {
+            case 0, 1, 2 -> available.remove(relay.name());
+            case 3, 4, 5 -> available.add(relay.name());
+            case 6 -> available.removeIf(name -> map.relay(name).zone().equals(relay.zone()));
+            case 7 -> available.removeIf(name -> map.relay(name).region().equals(relay.region()));
+            case 8 ->
+                map.relays().stream()
+                        .filter(one -> one.region().equals(relay.region()))
+                        .forEach(one -> available.add(one.name()));
+            default -> {
+                int weight = 1 + code / 1_000 % HEAVIEST;
+                return map.next(
+                        new ShardMapStep.PutRelay(new RelayInfo(relay.name(), relay.region(), relay.zone(), weight)));
+            }
+        }
+        return map;
+    }
+
+    private static long moved(ShardMap before, ShardMap after) {
+        long moved = 0;
+        for (int i = before.from(); i < before.to(); i++) {
+            moved += before.ownerOf(i).equals(after.ownerOf(i)) ? 0 : 1;
+        }
+        return moved;
+    }
+
+    private static void check(ShardMap before, AssignmentPlan plan, Set<String> available) {
+        ShardMap after = plan.applyTo(before);
+        AssignmentTest.assertWithinBounds(after, available, LoadBounds.USUAL);
+        assertEquals(moved(before, after), plan.moved());
+        assertTrue(plan.moved() >= plan.minimum());
+        for (ShardRange range : after.ranges()) {
+            if (plan.abandonedRegions().contains(range.region())) {
+                assertEquals(range, before.rangeOf(range.from()), "of a region without relays");
+            }
+        }
+        long extra = Math.max(FEW, (long) (MOST_EXTRA * (before.to() - before.from()) / RELAYS));
+        assertTrue(
+                plan.moved() <= plan.minimum() + extra,
+                () -> plan.moved() + " moved, the minimum is " + plan.minimum());
+        assertEquals(List.of(), ASSIGNMENT.plan(after, available).steps(), "nothing is left to do");
+    }
+
+    @Property(tries = 300, seed = SEED)
+    void loadsStayWithinTheirBoundsAndMovesNearTheMinimum(
+            @ForAll @Size(max = 20) List<@IntRange(max = 99_999) Integer> script,
+            @ForAll @IntRange(min = 1, max = 3_000) int destinations,
+            @ForAll @IntRange(min = 1, max = 16) int rangesPerRelay,
+            @ForAll boolean weighted) {
+        List<RelayInfo> relays = relays(weighted);
+        Set<String> available = new TreeSet<>(AssignmentTest.names(relays));
+        ShardMap map = ASSIGNMENT.firstMap(0, sizes(destinations), relays, rangesPerRelay);
+        AssignmentTest.assertWithinBounds(map, available, LoadBounds.USUAL);
+        for (int code : script) {
+            map = play(map, available, code);
+            AssignmentPlan plan = ASSIGNMENT.plan(map, available);
+            check(map, plan, available);
+            map = plan.applyTo(map);
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/juniperusher/shard/assign/AssignmentTest.java
@@ -0,0 +1,199 @@
+package juniperusher.shard.assign;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.stream.Collectors;
+import juniperusher.shard.RelayInfo;
+import juniperusher.shard.ShardMap;
+import juniperusher.shard.ShardMapStep;
+import juniperusher.shard.ShardRange;
+import org.junit.jupiter.api.Test;
+
+/** Loads within their bounds and few moves, at losses and returns of relays, zones and regions. */
+class AssignmentTest {
+    private static final int ZONES = 3;
+    private static final Assignment ASSIGNMENT = new Assignment(LoadBounds.USUAL);
+
+    /** Regions r0, r1, ... of equal size, each with its zones and relays. */
+    static List<RelayInfo> relays(int regions, int relaysPerRegion) {
+        List<RelayInfo> relays = new ArrayList<>();
+        for (int region = 0; region < regions; region++) {
+            for (int i = 0; i < relaysPerRegion; i++) {
+                String zone = "r" + region + "z" + i % ZONES;
+                relays.add(new RelayInfo("relay-%d-%04d".formatted(region, i), "r" + region, zone, 1));
+            }
+        }
+        return relays;
+    }
+
+    static ShardMap map(List<RelayInfo> relays, int regions, int destinationsPerRegion, int rangesPerRelay) {
+        Map<String, Integer> sizes = new LinkedHashMap<>();
+        for (int region = 0; region < regions; region++) {
+            sizes.put("r" + region, destinationsPerRegion);
+        }
+        return ASSIGNMENT.firstMap(0, sizes, relays, rangesPerRelay);
+    }
+
+    static Set<String> names(List<RelayInfo> relays) {
+        return relays.stream().map(RelayInfo::name).collect(Collectors.toCollection(TreeSet::new));
+    }
+
+    /** What every assignment promises, against the bounds computed anew from the map. */
+    static void assertWithinBounds(ShardMap map, Set<String> available, LoadBounds bounds) {
+        Map<String, Long> loads = new HashMap<>();
+        Map<String, Long> totals = new HashMap<>();
+        Map<String, Long> weights = new HashMap<>();
+        for (String name : available) {
+            weights.merge(map.relay(name).region(), (long) map.relay(name).weight(), Long::sum);
+        }
+        for (ShardRange range : map.ranges()) {
+            if (weights.containsKey(range.region())) {
+                assertTrue(range.owned() && available.contains(range.owner()), () -> "owned by none: " + range);
+                loads.merge(range.owner(), range.size(), Long::sum);
+                totals.merge(range.region(), range.size(), Long::sum);
+            }
+        }
+        for (String name : available) {
+            RelayInfo relay = map.relay(name);
+            double fair =
+                    (double) totals.getOrDefault(relay.region(), 0L) * relay.weight() / weights.get(relay.region());
+            long load = loads.getOrDefault(name, 0L);
+            assertTrue(
+                    load >= Math.floor(bounds.lowest() * fair) && load <= Math.ceil(bounds.highest() * fair),
+                    () -> relay + " has " + load + ", its fair share is " + fair);
+        }
+    }
+
+    private static long moved(ShardMap before, ShardMap after) {
+        long moved = 0;
+        for (int i = before.from(); i < before.to(); i++) {
+            moved += Objects.equals(before.ownerOf(i), after.ownerOf(i)) ? 0 : 1;
+        }
+        return moved;
+    }
+
+    /** Applies the plan and checks it: bounds, the moves that it tells, and at most that much above the minimum. */
+    private static ShardMap replanned(ShardMap map, Set<String> available, double mostOverMinimum) {
+        AssignmentPlan plan = ASSIGNMENT.plan(map, available);
+        ShardMap next = plan.applyTo(map);
+        assertWithinBounds(next, available, LoadBounds.USUAL);
+        assertEquals(moved(map, next), plan.moved());
+        assertTrue(plan.moved() >= plan.minimum(), plan.moved() + " of at least " + plan.minimum());
+        assertTrue(
+                plan.moved() <= mostOverMinimum * plan.minimum(), plan.moved() + " moved, minimum " + plan.minimum());
+        return next;
+    }
+
+    @Test
+    void aFirstMapGivesEachRelayItsShareAndRanges() {
+        List<RelayInfo> relays = relays(2, 30);
+        ShardMap map = map(relays, 2, 9_000, 8);
+        assertEquals(1, map.epoch());
+        assertWithinBounds(map, names(relays), LoadBounds.USUAL);
+        assertEquals(8, map.ownedBy("relay-1-0007").size());
+        assertEquals(List.of(), ASSIGNMENT.plan(map, names(relays)).steps(), "nothing more to do");
+    }
+
+    @Test
+    void atTheLossOfARelayOnlyItsRangesMoveAndAtItsReturnOnlyWhatItNeeds() {
+        List<RelayInfo> relays = relays(2, 30);
+        Set<String> available = names(relays);
+        ShardMap map = map(relays, 2, 9_000, 4);
+        available.remove("relay-0-0003");
+        ShardMap without = replanned(map, available, 1);
+        assertEquals(300, moved(map, without));
+        assertEquals(List.of(), without.ownedBy("relay-0-0003"));
+        assertEquals(map.ownedBy("relay-1-0003"), without.ownedBy("relay-1-0003"), "another region");
+        available.add("relay-0-0003");
+        ShardMap again = replanned(without, available, 1.05);
+        assertTrue(again.ownedBy("relay-0-0003").stream()
+                        .mapToLong(ShardRange::size)
+                        .sum()
+                >= 270);
+    }
+
+    @Test
+    void aZoneThatFailsIsSpreadOverTheOthersOfItsRegion() {
+        List<RelayInfo> relays = relays(2, 30);
+        Set<String> available = names(relays);
+        ShardMap map = map(relays, 2, 9_000, 4);
+        available.removeIf(name -> map.relay(name).zone().equals("r0z1"));
+        assertEquals(50, available.size());
+        ShardMap without = replanned(map, available, 1);
+        available.addAll(names(relays));
+        replanned(without, available, 1.05);
+    }
+
+    @Test
+    void aRegionWithoutAnyRelayKeepsItsOwners() {
+        List<RelayInfo> relays = relays(2, 30);
+        Set<String> available = names(relays);
+        ShardMap map = map(relays, 2, 9_000, 4);
+        available.removeIf(name -> map.relay(name).region().equals("r0"));
+        AssignmentPlan plan = ASSIGNMENT.plan(map, available);
+        assertEquals(List.of("r0"), plan.abandonedRegions());
+        assertEquals(map, plan.applyTo(map));
+    }
+
+    @Test
+    void loadFollowsWeightAndItsChanges() {
+        List<RelayInfo> relays = relays(1, 12);
+        Set<String> available = names(relays);
+        ShardMap map = map(relays, 1, 12_000, 8);
+        ShardMap heavier = map.next(new ShardMapStep.PutRelay(new RelayInfo("relay-0-0000", "r0", "r0z0", 5)));
+        ShardMap next = replanned(heavier, available, 1.05);
+        assertTrue(next.ownedBy("relay-0-0000").stream()
+                        .mapToLong(ShardRange::size)
+                        .sum()
+                >= 3_375);
+    }
+
+    @Test
+    void whatNobodyOwnsIsAssignedAndWhatARemovedRelayHadAsWell() {
+        List<RelayInfo> relays = relays(1, 10);
+        ShardMap map = map(relays, 1, 1_000, 4);
+        ShardMap released = map.next(map.ownedBy("relay-0-0001").stream()
+                .map(range -> (ShardMapStep) new ShardMapStep.Release(range.from()))
+                .toList());
+        ShardMap removed = released.next(new ShardMapStep.RemoveRelay("relay-0-0001"));
+        Set<String> available = names(removed.relays());
+        replanned(removed, available, 1);
+        assertThrows(IllegalArgumentException.class, () -> ASSIGNMENT.plan(removed, Set.of("relay-0-0001")));
+    }
+
+    @Test
+    void aRegionMayHaveFewerDestinationsThanRelays() {
+        List<RelayInfo> relays = relays(1, 10);
+        Set<String> available = names(relays);
+        ShardMap map = map(relays, 1, 3, 4);
+        assertEquals(3, map.rangeCount());
+        available.remove(map.ownerOf(0));
+        replanned(map, available, 1);
+    }
+
+    @Test
+    void theSameMapAndRelaysGiveTheSamePlan() {
+        List<RelayInfo> relays = relays(2, 30);
+        ShardMap map = map(relays, 2, 9_000, 4);
+        Set<String> available = names(relays);
+        available.removeIf(name -> map.relay(name).zone().equals("r1z2"));
+        assertEquals(ASSIGNMENT.plan(map, available), ASSIGNMENT.plan(map, Set.copyOf(available)));
+    }
+
+    @Test
+    void boundsThatNobodyCanKeepAreRefused() {
+        assertThrows(IllegalArgumentException.class, () -> new LoadBounds(1.1, 1.2));
+        assertThrows(IllegalArgumentException.class, () -> new LoadBounds(0.9, 0.99));
+        assertThrows(IllegalArgumentException.class, () -> new LoadBounds(Double.NaN, 1.1));
+    }
+}
