--- a/src/main/java/juniperusher/fleet/ControlService.java
+++ b/src/main/java/juniperusher/fleet/ControlService.java
@@ -248,23 +248,25 @@
 
     private String status() {
         Publisher<ShardMap> publisher = server.process().publisher();
-        ShardMap map = publisher.state();
         return "role=" + (publisher.leads() ? "leader" : "follower")
                 + " term=" + publisher.term()
                 + " version=" + publisher.newest()
-                + " epoch=" + (map == null ? 0 : map.epoch())
+                + " epoch=" + (long) epoch()
                 + " subscribers=" + publisher.memory().subscribers()
                 + " age_seconds=" + publisher.age(loop.now());
     }
 
+    private double epoch() {
+        ShardMap map = server.process().publisher().state();
+        return map == null ? 0 : map.epoch();
+    }
+
     // Asked on the loop's thread alone, by the operator's line.
     private void showGauges() {
         Publisher<ShardMap> publisher = server.process().publisher();
         counters.gauge("control_leads", () -> publisher.leads() ? 1 : 0);
         counters.gauge("control_term", publisher::term);
-        counters.gauge(
-                "control_epoch",
-                () -> publisher.state() == null ? 0 : publisher.state().epoch());
+        counters.gauge("control_epoch", this::epoch);
         counters.gauge("control_age_seconds", () -> publisher.age(loop.now()));
         counters.gauge("control_subscribers", () -> publisher.memory().subscribers());
         counters.gauge("control_connections", () -> server.connections());
--- a/src/main/java/juniperusher/fleet/FleetMembership.java
+++ b/src/main/java/juniperusher/fleet/FleetMembership.java
@@ -118,12 +118,24 @@
     }
 
     private void showGauges() {
-        counters.gauge("fleet_map_epoch", () -> map() == null ? 0 : map().epoch());
+        counters.gauge("fleet_map_epoch", this::epoch);
         counters.gauge("fleet_map_age_seconds", this::age);
         counters.gauge("fleet_map_stale", () -> age() > settings.staleAfter() ? 1 : 0);
-        counters.gauge("fleet_subscribed", () -> shown != null && shown.status().source() != null ? 1 : 0);
-        counters.gauge(
-                "fleet_maps_refused", () -> shown == null ? 0 : shown.status().refused());
+        counters.gauge("fleet_subscribed", this::subscribed);
+        counters.gauge("fleet_maps_refused", this::refused);
+    }
+
+    private double epoch() {
+        ShardMap map = map();
+        return map == null ? 0 : map.epoch();
+    }
+
+    private double subscribed() {
+        return shown != null && shown.status().source() != null ? 1 : 0;
+    }
+
+    private double refused() {
+        return shown == null ? 0 : shown.status().refused();
     }
 
     private final class Events implements ControlClient.Listener {
--- a/src/test/java/juniperusher/fleet/ControlServiceTest.java
+++ b/src/test/java/juniperusher/fleet/ControlServiceTest.java
@@ -151,6 +151,46 @@
         await("the change of the new term", () -> at(relay, 3));
     }
 
+    @Test
+    void bytesThatAreNoFrameEndTheirConnectionAndNoOther() throws Exception {
+        ControlService leader = leader();
+        FleetMembership relay = relay("relay-1", List.of(address(leader)), new Counters());
+        await("the first map", () -> at(relay, 1));
+        try (Socket socket = new Socket("127.0.0.1", leader.listening().getPort())) {
+            socket.setSoTimeout((int) TimeUnit.SECONDS.toMillis(PATIENCE));
+            socket.getOutputStream().write("GET / HTTP/1.1\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+            assertEquals(-1, socket.getInputStream().read(), "closed without an answer");
+        }
+        assertEquals("ok epoch 2", ask(leader, "move 0 relay-2"));
+        await("the change", () -> at(relay, 2));
+    }
+
+    @Test
+    void changesOfOneBurstShareEpochsAndAllOfThemAreMade() throws Exception {
+        ControlService leader = leader();
+        FleetMembership relay = relay("relay-1", List.of(address(leader)), new Counters());
+        StringBuilder lines = new StringBuilder();
+        int changes = 2_000;
+        for (int i = 0; i < changes; i++) {
+            lines.append(i % 2 == 0 ? "move 0 relay-2\n" : "move 0 relay-1\n");
+        }
+        String last = "";
+        try (Socket socket = new Socket("127.0.0.1", leader.operator().getPort())) {
+            socket.setSoTimeout((int) TimeUnit.SECONDS.toMillis(PATIENCE));
+            socket.getOutputStream().write(lines.toString().getBytes(StandardCharsets.UTF_8));
+            BufferedReader answers =
+                    new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.UTF_8));
+            for (int i = 0; i < changes; i++) {
+                last = answers.readLine();
+                assertTrue(last.startsWith("ok epoch "), last);
+            }
+        }
+        long epoch = Long.parseLong(last.substring("ok epoch ".length()));
+        assertTrue(epoch < changes, "shared: " + epoch);
+        await("the last epoch", () -> at(relay, epoch));
+        assertEquals("relay-1", relay.map().ownerOf(0));
+    }
+
     @Test
     void aRelayThatReachesNobodyUsesTheMapOfItsFolder() throws Exception {
         ControlService leader = leader();
