--- a/src/main/java/juniperusher/lab/fleet/DistributionWorld.java
+++ b/src/main/java/juniperusher/lab/fleet/DistributionWorld.java
@@ -31,6 +31,8 @@
 public final class DistributionWorld {
     private static final double MOST_AHEAD = 7_200; // s by which clocks differ
     private static final double ROUNDING = 1e-6; // s, so that a process wakes after its due time
+    private static final int SMALL = 100; // relays up to which publishers are looked at after each step
+    private static final int SAMPLE = 64;
     private static final double UNLIMITED = Double.POSITIVE_INFINITY;
 
     private final Setting setting;
@@ -72,6 +74,7 @@
         boolean apart; // cut off, with all others that are
         double readRate = UNLIMITED; // bytes in a second
         int life;
+        long bytesIn; // from its sources
         double wakeAt = Double.POSITIVE_INFINITY;
         Subscriber<Ledger> subscriber;
 
@@ -227,6 +230,7 @@
         final Map<Long, Link> downstream = new LinkedHashMap<>(); // by this process's own numbers
         ControlProcess<Ledger> process;
         long accepted;
+        long handled;
 
         ControlNode(String name) {
             super(name);
@@ -270,7 +274,9 @@
                     later(0, this::follow);
                 }
             }
-            checker.memory(events.now(), name, process.publisher().memory());
+            if (++handled % (setting.relays() <= SMALL ? 1 : SAMPLE) == 0) {
+                checker.memory(events.now(), name, process.publisher().memory());
+            }
             planWake(process.due());
         }
 
@@ -324,6 +330,7 @@
                     events,
                     () -> client.apart == server.apart,
                     frame -> {
+                        client.bytesIn += frame.length;
                         if (client.alive && client.life == clientLife && client.upstream.containsKey(clientNumber)) {
                             read(
                                     clientDecoder,
@@ -679,6 +686,11 @@
         return ((ControlNode) nodes.get(control)).process.publisher();
     }
 
+    /** How many bytes have come to a process from its sources. */
+    public long bytesTo(String name) {
+        return nodes.get(name).bytesIn;
+    }
+
     /** Names of the relays. */
     public List<String> relays() {
         return relays.stream().map(node -> node.name).toList();
--- /dev/null
+++ b/src/test/java/juniperusher/distribution/SubscriberTest.java
@@ -0,0 +1,316 @@
+package juniperusher.distribution;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertSame;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import juniperusher.distribution.SubscriberStep.Reason;
+import juniperusher.lab.fleet.Ledger;
+import juniperusher.lab.fleet.LedgerCodec;
+import org.junit.jupiter.api.Test;
+
+/** One subscriber, driven message by message. */
+class SubscriberTest {
+    private static final Timing TIMING = Timing.USUAL;
+    private static final int MOST = 1_000;
+    private static final long SEED = 20_261_202;
+    private static final LedgerCodec CODEC = new LedgerCodec(100);
+
+    private final Subscriber<Ledger> subscriber = new Subscriber<>("r", TIMING, MOST, CODEC, SEED);
+    private double now;
+    private long connection;
+
+    private List<SubscriberStep<Ledger>> hear(ControlMessage message) {
+        now += 0.01;
+        return subscriber.received(connection, message, now);
+    }
+
+    /** Lets time pass until it connects, and connects. */
+    private ControlMessage.Subscribe connect() {
+        now = Math.max(now, subscriber.due());
+        SubscriberStep.Connect<Ledger> connect = assertInstanceOf(
+                SubscriberStep.Connect.class, subscriber.tick(now).get(0));
+        connection = connect.connection();
+        SubscriberStep.Send<Ledger> send = assertInstanceOf(
+                SubscriberStep.Send.class, subscriber.connected(connection, now).get(0));
+        return assertInstanceOf(ControlMessage.Subscribe.class, send.message());
+    }
+
+    private static ControlMessage.SnapshotPart part(Version version, int part, int parts, byte[] whole) {
+        int size = whole.length / parts;
+        byte[] piece = java.util.Arrays.copyOfRange(whole, part * size, (part + 1) * size);
+        int checksum = ControlMessageCodec.checksum(whole, 0, whole.length);
+        return new ControlMessage.SnapshotPart(version.term(), version, part, parts, checksum, piece);
+    }
+
+    private static ControlMessage.Delta delta(Version from, byte[]... deltas) {
+        List<Change> changes = new java.util.ArrayList<>();
+        for (byte[] one : deltas) {
+            changes.add(new Change(new Version(from.term(), from.revision() + changes.size() + 1), one));
+        }
+        return new ControlMessage.Delta(from.term(), from, changes);
+    }
+
+    private static ControlMessage.Heartbeat heartbeat(Version newest, Version sent, double age, long heard) {
+        return new ControlMessage.Heartbeat(newest.term(), newest, sent, age, heard, 0);
+    }
+
+    /** Subscribed, with version 1.1 in force. */
+    private void begin() {
+        subscriber.start(List.of("a", "b"), now);
+        assertEquals(Version.NONE, connect().has());
+        hear(part(new Version(1, 1), 0, 1, CODEC.encode(Ledger.EMPTY)));
+        assertEquals(new Version(1, 1), subscriber.version());
+    }
+
+    private static <T> T first(Class<T> type, List<SubscriberStep<Ledger>> steps) {
+        return steps.stream()
+                .filter(type::isInstance)
+                .map(type::cast)
+                .findFirst()
+                .orElse(null);
+    }
+
+    private static Reason left(List<SubscriberStep<Ledger>> steps) {
+        SubscriberStep.Disconnect<?> step = first(SubscriberStep.Disconnect.class, steps);
+        return step == null ? null : step.reason();
+    }
+
+    @Test
+    void aStateIsTakenOverOnlyOnceItIsWhole() {
+        begin();
+        Ledger before = subscriber.state();
+        byte[] whole = CODEC.encode(new Ledger(7, 7));
+        for (int i = 0; i < 3; i++) {
+            assertNull(first(SubscriberStep.Replaced.class, hear(part(new Version(1, 8), i, 4, whole))));
+            assertSame(before, subscriber.state());
+        }
+        assertEquals(
+                new Ledger(7, 7),
+                first(SubscriberStep.Replaced.class, hear(part(new Version(1, 8), 3, 4, whole)))
+                        .state());
+        assertEquals(new Version(1, 8), subscriber.version());
+    }
+
+    @Test
+    void aDamagedWholeStateIsRefusedAndTheOldOneKept() {
+        begin();
+        Ledger before = subscriber.state();
+        byte[] whole = CODEC.encode(new Ledger(7, 7));
+        whole[3] ^= 1; // before its checksum was taken
+        List<SubscriberStep<Ledger>> steps = hear(part(new Version(1, 8), 0, 1, whole));
+        assertEquals(
+                new Version(1, 8), first(SubscriberStep.Refused.class, steps).version());
+        assertEquals(Reason.DAMAGED, left(steps));
+        assertSame(before, subscriber.state());
+        assertEquals(new Version(1, 1), subscriber.version());
+        assertEquals(1, subscriber.refused());
+    }
+
+    @Test
+    void partsThatAreNotThoseOfTheChecksumAreRefused() {
+        begin();
+        byte[] whole = CODEC.encode(new Ledger(7, 7));
+        hear(part(new Version(1, 8), 0, 2, whole));
+        ControlMessage.SnapshotPart second = part(new Version(1, 8), 1, 2, whole);
+        second.bytes()[5] ^= 1;
+        assertEquals(Reason.DAMAGED, left(hear(second)));
+        assertEquals(new Version(1, 1), subscriber.version());
+    }
+
+    @Test
+    void aWholeStateBeyondTheBoundIsRefusedBeforeItIsHeld() {
+        begin();
+        byte[] whole = new byte[4 * MOST];
+        assertNull(left(hear(part(new Version(1, 8), 0, 8, whole))));
+        assertNull(left(hear(part(new Version(1, 8), 1, 8, whole))));
+        assertEquals(Reason.DAMAGED, left(hear(part(new Version(1, 8), 2, 8, whole))));
+    }
+
+    /** Else the same change would come again and again. */
+    @Test
+    void afterADamagedChangeTheWholeStateIsAskedFor() {
+        begin();
+        byte[] damaged = LedgerCodec.change(5, 12);
+        damaged[0] ^= 1;
+        List<SubscriberStep<Ledger>> steps = hear(delta(new Version(1, 1), LedgerCodec.change(4, 12), damaged));
+        assertEquals(Reason.DAMAGED, left(steps));
+        assertEquals(Ledger.EMPTY, subscriber.state(), "not even the change before it");
+        assertEquals(Version.NONE, connect().has());
+        hear(part(new Version(1, 3), 0, 1, CODEC.encode(new Ledger(2, 9))));
+        assertEquals(new Version(1, 3), subscriber.version());
+        subscriber.disconnected(connection, now);
+        assertEquals(new Version(1, 3), connect().has());
+    }
+
+    @Test
+    void aChangeForAStateThatItDoesNotHaveIsAskedForAnew() {
+        begin();
+        assertEquals(Reason.GAP, left(hear(delta(new Version(1, 2), LedgerCodec.change(4, 12)))));
+        assertEquals(new Version(1, 1), connect().has());
+    }
+
+    @Test
+    void ofADeltaThatItHasInPartTheRestIsTaken() {
+        begin();
+        byte[] second = LedgerCodec.change(2, 12);
+        byte[] third = LedgerCodec.change(3, 12);
+        hear(delta(new Version(1, 1), second));
+        Ledger once = subscriber.state();
+        List<SubscriberStep<Ledger>> steps = hear(delta(new Version(1, 1), second, third));
+        SubscriberStep.Advanced<?> advanced = first(SubscriberStep.Advanced.class, steps);
+        assertEquals(new Version(1, 2), advanced.from());
+        assertEquals(once.changes() + 1, subscriber.state().changes());
+        assertTrue(hear(delta(new Version(1, 1), second)).size() == 1, "an acknowledgement and no more");
+        assertEquals(1, subscriber.doubled());
+    }
+
+    /** The same revision of another term is another state. */
+    @Test
+    void aDeltaFromTheSameRevisionOfAnotherTermIsAGap() {
+        begin();
+        assertEquals(Reason.GAP, left(hear(delta(new Version(2, 1), LedgerCodec.change(4, 12)))));
+    }
+
+    @Test
+    void anOlderTermIsRefused() {
+        begin();
+        subscriber.newerTerm(2);
+        List<SubscriberStep<Ledger>> steps = hear(delta(new Version(1, 1), LedgerCodec.change(4, 12)));
+        assertEquals(Reason.OUTDATED_TERM, left(steps));
+        assertEquals(new Version(1, 1), subscriber.version());
+        assertEquals(2, connect().term());
+    }
+
+    @Test
+    void silenceIsABreakAndTheNextSourceIsTried() {
+        begin();
+        assertEquals("a", subscriber.source());
+        double heard = now;
+        assertEquals(heard + TIMING.silence(), subscriber.due(), 1e-9);
+        assertTrue(subscriber.tick(heard + TIMING.silence() - 0.01).isEmpty());
+        now = heard + TIMING.silence();
+        assertEquals(Reason.SILENCE, left(subscriber.tick(now)));
+        connect();
+        assertEquals("b", subscriber.source());
+        assertTrue(now - heard < TIMING.silence() + 2 * TIMING.firstPause());
+    }
+
+    @Test
+    void pausesGrowToTheLongestAndAreNotTheSame() {
+        subscriber.start(List.of("a", "b"), now);
+        double longest = 0;
+        for (int i = 0; i < 20; i++) {
+            now = subscriber.due();
+            SubscriberStep.Connect<Ledger> connect = assertInstanceOf(
+                    SubscriberStep.Connect.class, subscriber.tick(now).get(0));
+            subscriber.disconnected(connect.connection(), now);
+            longest = Math.max(longest, subscriber.due() - now);
+            assertTrue(subscriber.due() - now >= TIMING.firstPause() / 2);
+        }
+        assertTrue(longest > TIMING.longestPause() / 2 && longest <= TIMING.longestPause());
+    }
+
+    @Test
+    void aToldWaitIsKeptInFull() {
+        begin();
+        assertEquals(Reason.BUSY, left(hear(new ControlMessage.Busy(1, 20))));
+        assertTrue(subscriber.due() >= now + 20);
+        assertTrue(subscriber.due() <= now + 20 + TIMING.firstPause());
+    }
+
+    /** From when the acknowledgement was sent that the heartbeat answers, whatever time that took. */
+    @Test
+    void theStalenessIsNeverToldTooSmall() {
+        begin();
+        assertEquals(Double.POSITIVE_INFINITY, subscriber.staleness(now));
+        Version version = subscriber.version();
+        double acknowledged = now; // with the whole state's acknowledgement
+        now += 2;
+        hear(heartbeat(version, version, 0.5, 1));
+        assertEquals(now - acknowledged + 0.5, subscriber.staleness(now), 1e-9);
+        double second = now;
+        now += 2;
+        hear(new ControlMessage.Heartbeat(1, version, version, 0.5, 2, 1.5));
+        assertEquals(now - (second + 1.5) + 0.5, subscriber.staleness(now), 1e-9);
+        double told = subscriber.staleness(now);
+        now += 2;
+        hear(heartbeat(version, version, Double.POSITIVE_INFINITY, 3));
+        assertEquals(told + 2.01, subscriber.staleness(now), 1e-9, "the source knows nothing newer");
+        hear(heartbeat(new Version(1, 2), version, 0, 4));
+        assertTrue(subscriber.staleness(now) > told + 2, "it has something newer");
+    }
+
+    @Test
+    void aSourceThatIsItselfStaleIsLeft() {
+        begin();
+        Version version = subscriber.version();
+        hear(heartbeat(version, version, TIMING.tooStale() + 1, 1));
+        double from = now;
+        assertTrue(subscriber.due() <= from + TIMING.silence());
+        now = subscriber.due();
+        assertEquals(Reason.STALE_SOURCE, left(subscriber.tick(now)));
+        connect();
+        assertEquals("b", subscriber.source());
+    }
+
+    @Test
+    void aHeartbeatTellsOfWhatDidNotCome() {
+        begin();
+        assertEquals(Reason.GAP, left(hear(heartbeat(new Version(1, 2), new Version(1, 2), 0, 1))));
+    }
+
+    @Test
+    void lateEventsOfAnEarlierConnectionDoNothing() {
+        begin();
+        long first = connection;
+        subscriber.disconnected(first, now);
+        connect();
+        assertTrue(subscriber
+                .received(first, delta(new Version(1, 1), LedgerCodec.change(1, 12)), now)
+                .isEmpty());
+        assertTrue(subscriber.disconnected(first, now).isEmpty());
+        assertTrue(subscriber.connected(first, now).isEmpty());
+        assertEquals(new Version(1, 1), subscriber.version());
+        assertEquals("b", subscriber.source());
+    }
+
+    @Test
+    void newSourcesLeaveAConnectionThatIsStillAmongThem() {
+        begin();
+        assertTrue(subscriber.start(List.of("c", "a"), now).isEmpty());
+        assertEquals("a", subscriber.source());
+        assertEquals(Reason.STOPPED, left(subscriber.start(List.of("c"), now)));
+        connect();
+        assertEquals("c", subscriber.source());
+        assertEquals(Reason.STOPPED, left(subscriber.stop(now)));
+        assertEquals(Double.POSITIVE_INFINITY, subscriber.due());
+        assertEquals(new Version(1, 1), subscriber.version());
+    }
+
+    /** It starts with what its folder had, aged, while no control process is to be reached. */
+    @Test
+    void aStateFromItsFolderIsInForceAndAged() {
+        subscriber.resume(new Version(3, 9), new Ledger(9, 9), -500);
+        subscriber.start(List.of("a"), now);
+        assertEquals(new Version(3, 9), subscriber.version());
+        assertEquals(500, subscriber.staleness(now), 1e-9);
+        ControlMessage.Subscribe subscribe = connect();
+        assertEquals(new Version(3, 9), subscribe.has());
+        assertEquals(3, subscribe.term());
+        assertFalse(subscribe.republishes());
+        subscriber.resume(new Version(3, 8), new Ledger(8, 8), 0);
+        assertEquals(new Version(3, 9), subscriber.version(), "an older one is no news");
+    }
+
+    @Test
+    void aClockThatGoesBackIsRefused() {
+        subscriber.start(List.of("a"), 5);
+        assertThrows(IllegalArgumentException.class, () -> subscriber.tick(4));
+    }
+}
