--- a/src/main/java/juniperusher/shard/RelayTable.java
+++ b/src/main/java/juniperusher/shard/RelayTable.java
@@ -2,6 +2,7 @@
 
 import java.util.Arrays;
 import java.util.Collection;
+import java.util.Collections;
 import java.util.List;
 import java.util.TreeMap;
 import java.util.TreeSet;
@@ -15,6 +16,8 @@
     private final String[] names;
     private final String[] regions;
     private final short[] regionOfRelay;
+    private final List<RelayInfo> list;
+    private final List<String> regionList;
 
     /** The table of these relays; {@code rangeRegions} are the regions of the ranges, with or without relays. */
     RelayTable(Collection<RelayInfo> relays, Collection<String> rangeRegions) {
@@ -33,6 +36,8 @@
         this.relays = byName.values().toArray(RelayInfo[]::new);
         names = byName.keySet().toArray(String[]::new);
         regions = regionNames.toArray(String[]::new);
+        list = Collections.unmodifiableList(Arrays.asList(this.relays));
+        regionList = Collections.unmodifiableList(Arrays.asList(regions));
         regionOfRelay = new short[names.length];
         for (int i = 0; i < names.length; i++) {
             regionOfRelay[i] = (short) regionIndex(this.relays[i].region());
@@ -74,11 +79,11 @@
     }
 
     List<RelayInfo> list() {
-        return List.of(relays);
+        return list;
     }
 
     List<String> regions() {
-        return List.of(regions);
+        return regionList;
     }
 
     boolean sameRegions(RelayTable other) {
--- a/src/main/java/juniperusher/shard/ShardMapEditor.java
+++ b/src/main/java/juniperusher/shard/ShardMapEditor.java
@@ -13,9 +13,8 @@
 final class ShardMapEditor {
     private final ShardMap base;
     private final long epoch;
-    private final TreeMap<String, RelayInfo> relays = new TreeMap<>();
     private final TreeMap<Integer, Draft> drafts = new TreeMap<>();
-    private boolean relaysChanged;
+    private TreeMap<String, RelayInfo> changedRelays; // all relays by their names; null while they are the base's
 
     /** A range after some steps; {@code merged} if it has become part of the one before. */
     private record Draft(int from, int to, String owner, String region, long movedAt, boolean merged) {
@@ -31,7 +30,6 @@
     ShardMapEditor(ShardMap base) {
         this.base = base;
         epoch = base.epoch() + 1;
-        base.relays().forEach(relay -> relays.put(relay.name(), relay));
     }
 
     ShardMap next(List<ShardMapStep> steps) {
@@ -56,19 +54,29 @@
         } else if (step instanceof ShardMapStep.Merge merge) {
             merge(merge);
         } else if (step instanceof ShardMapStep.PutRelay put) {
-            relays.put(put.relay().name(), put.relay());
-            relaysChanged = true;
+            relaysToChange().put(put.relay().name(), put.relay());
         } else if (step instanceof ShardMapStep.RemoveRelay remove) {
-            if (relays.remove(remove.name()) == null) {
+            if (relaysToChange().remove(remove.name()) == null) {
                 throw new InvalidStepException(step, "no relay of that name is known");
             }
-            relaysChanged = true;
         }
     }
 
+    private TreeMap<String, RelayInfo> relaysToChange() {
+        if (changedRelays == null) {
+            changedRelays = new TreeMap<>();
+            base.relays().forEach(relay -> changedRelays.put(relay.name(), relay));
+        }
+        return changedRelays;
+    }
+
+    private RelayInfo relay(String name) {
+        return changedRelays == null ? base.relay(name) : changedRelays.get(name);
+    }
+
     private void move(ShardMapStep.Move move) {
         Draft range = at(move, move.from());
-        RelayInfo owner = relays.get(move.owner());
+        RelayInfo owner = relay(move.owner());
         if (owner == null) {
             throw new InvalidStepException(move, "no relay of that name is known");
         }
@@ -132,7 +140,7 @@
     }
 
     private ShardMap build() {
-        RelayTable table = relaysChanged ? newTable() : base.table();
+        RelayTable table = changedRelays == null ? base.table() : newTable();
         int[] owners = newOwners(table);
         int[] regions = newRegions(table);
         RangeColumns old = base.columns();
@@ -167,7 +175,7 @@
         for (int i = 0; i < base.columns().size(); i++) {
             rangeRegions.add(base.table().region(base.columns().region(i)));
         }
-        return new RelayTable(relays.values(), rangeRegions);
+        return new RelayTable(changedRelays.values(), rangeRegions);
     }
 
     /** For each relay of the base its index in the next map. */
--- a/src/main/java/juniperusher/shard/assign/RegionPlanner.java
+++ b/src/main/java/juniperusher/shard/assign/RegionPlanner.java
@@ -14,9 +14,9 @@
 
 /**
  * Plans one region. First the ranges of relays that are not available, and what is above a relay's bound, go into a
- * pool. Largest first, they go to the least loaded relay each time, cut only where they do not fit. Then each relay that
- * is still below its bound is filled up to it from the most loaded relays, by pieces that move anyhow while there are
- * such. So little more moves than has to.
+ * pool. Largest first, they go to the least loaded relay each time, cut only where they do not fit. Then each relay
+ * that is still below its bound is filled up to it from the most loaded relays, by pieces that move anyhow while there
+ * are such. So little more moves than has to.
  */
 final class RegionPlanner {
     /** No piece smaller than this part of the mean load is cut, where it can be helped: the map would grow. */
@@ -59,6 +59,9 @@
     }
 
     void run() {
+        if (minimum() == 0) {
+            return;
+        }
         relays.forEach(this::relieve);
         pool.sort(Comparator.comparingLong(Piece::size).reversed().thenComparingInt(Piece::from));
         TreeSet<RelayLoad> byLoad = new TreeSet<>(RelayLoad.BY_LOAD);
--- a/src/test/java/juniperusher/ImportsTest.java
+++ b/src/test/java/juniperusher/ImportsTest.java
@@ -187,6 +187,20 @@
                             "java.util.concurrent",
                             "java.lang.System",
                             "java.time")),
+            Map.entry(
+                    "lab/shard",
+                    List.of(
+                            "juniperusher.core",
+                            "juniperusher.http",
+                            "juniperusher.amqp",
+                            "juniperusher.net",
+                            "juniperusher.cli",
+                            "juniperusher.sim",
+                            "juniperusher.Control",
+                            "java.io",
+                            "java.net",
+                            "java.nio",
+                            "java.util.concurrent")),
             Map.entry(
                     "lab/fleet",
                     List.of(
