--- a/src/test/java/juniperusher/ImportsTest.java
+++ b/src/test/java/juniperusher/ImportsTest.java
@@ -233,6 +233,20 @@
                             "juniperusher.settings",
                             "juniperusher.lab.sockets",
                             "org.eclipse.jetty")),
+            Map.entry(
+                    "lab/shard",
+                    List.of(
+                            "juniperusher.core",
+                            "juniperusher.http",
+                            "juniperusher.amqp",
+                            "juniperusher.net",
+                            "juniperusher.cli",
+                            "juniperusher.sim",
+                            "juniperusher.Control",
+                            "java.io",
+                            "java.net",
+                            "java.nio",
+                            "java.util.concurrent")),
             Map.entry(
                     "lab/fleet",
                     List.of(
