lab scale: what a relay costs by its load, as slopes with intervals, and the walls they set

The fleet to come needs figures that follow from slopes, each from several sizes of one run.

AgentList is public, so that the reading of lists is measured as it is.

ExperimentTest read every file of experiments/ by the schema of lab run; those named scale* are read by ScaleExperimentTest by their own schema instead, so that no file is left unread.

--- a/src/main/java/juniperusher/cli/LabCommands.java
+++ b/src/main/java/juniperusher/cli/LabCommands.java
@@ -9,7 +9,7 @@
 import java.util.List;
 
 /** The sub-commands of {@code lab}. Only what is asked for is loaded. */
-@Parameters(commandDescription = "The laboratory: lab run, compare, load, bench; lab help; see docs/lab.md")
+@Parameters(commandDescription = "The laboratory: lab run, compare, scale, load, bench; lab help; see docs/lab.md")
 final class LabCommands implements Main.Command {
     @Parameter(description = "the laboratory's command and its arguments")
     private List<String> words = new ArrayList<>();
@@ -19,6 +19,7 @@
                 .programName("juniperusher lab")
                 .addCommand("run", new Lab.Play())
                 .addCommand("compare", new Lab.Compare())
+                .addCommand("scale", new LabScale())
                 .addCommand("load", new LabSockets.Hand())
                 .addCommand("bench", new LabSockets.Measure())
                 .build();
--- a/src/main/java/juniperusher/http/AgentList.java
+++ b/src/main/java/juniperusher/http/AgentList.java
@@ -14,12 +14,12 @@
 import juniperusher.membership.Update;
 
 /** Reads the platform's form of a list of endpoints, whole or of changes. */
-final class AgentList {
+public final class AgentList {
     private final List<String> kinds;
     private final List<String> zones;
 
     /** Knows kinds and zones by their names, in the settings' order. */
-    AgentList(List<String> kinds, List<String> zones) {
+    public AgentList(List<String> kinds, List<String> zones) {
         this.kinds = List.copyOf(kinds);
         this.zones = List.copyOf(zones);
     }
@@ -30,7 +30,7 @@
      * @throws IllegalArgumentException if it is no list: cut off, not JSON, or without its entries. One entry
      *     that cannot be read spoils itself alone.
      */
-    Update read(String text) {
+    public Update read(String text) {
         try {
             return read(Json.parse(text).asObject());
         } catch (ParseException | UnsupportedOperationException | NumberFormatException e) {
--- a/src/test/java/juniperusher/ImportsTest.java
+++ b/src/test/java/juniperusher/ImportsTest.java
@@ -160,6 +160,18 @@
                             "java.util.concurrent",
                             "java.lang.System",
                             "java.time")),
+            Map.entry(
+                    "lab/scale",
+                    List.of(
+                            "juniperusher.amqp",
+                            "juniperusher.net",
+                            "juniperusher.cli",
+                            "juniperusher.sim",
+                            "juniperusher.settings",
+                            "juniperusher.lab.sockets",
+                            "org.eclipse.jetty",
+                            "java.net",
+                            "java.util.concurrent")),
             Map.entry(
                     "sim",
                     List.of(
--- a/src/test/java/juniperusher/lab/ExperimentTest.java
+++ b/src/test/java/juniperusher/lab/ExperimentTest.java
@@ -41,8 +41,10 @@
         return Experiment.of(written, variants);
     }
 
+    /** All but those of lab scale, which ScaleExperimentTest reads by their own schema. */
     static Stream<Path> files() throws IOException {
-        return Files.list(Path.of("experiments"));
+        return Files.list(Path.of("experiments"))
+                .filter(file -> !file.getFileName().toString().startsWith("scale"));
     }
 
     @ParameterizedTest
