lab scale: walls by the measured costs, not by one line through all of them

Rounds cost more for each destination once they outgrow the caches, and a budget is passed well before that. Between measured sizes a cost is now interpolated between the medians, beyond them the slope counts. LinearFitTest, ScaleExperimentTest and ImportsTest pass.

--- a/src/main/java/juniperusher/lab/scale/ScaleExperiment.java
+++ b/src/main/java/juniperusher/lab/scale/ScaleExperiment.java
@@ -100,9 +100,11 @@
         }
         List<Wall> found = new ArrayList<>();
         for (Wall.Plan plan : walls) {
-            List<LinearFit> fits =
-                    plan.slopes().stream().map(name -> results.get(name).fit()).toList();
-            found.add(fits.isEmpty() ? Wall.constant(plan) : Wall.of(plan, fits));
+            List<CostCurve> costs = plan.slopes().stream()
+                    .map(name -> new CostCurve(
+                            results.get(name).points(), results.get(name).fit()))
+                    .toList();
+            found.add(costs.isEmpty() ? Wall.constant(plan) : Wall.of(plan, costs));
         }
         return new ScaleResults(title, List.copyOf(results.values()), found);
     }
--- a/src/main/java/juniperusher/lab/scale/Wall.java
+++ b/src/main/java/juniperusher/lab/scale/Wall.java
@@ -2,6 +2,8 @@
 
 import java.util.List;
 import java.util.Locale;
+import org.apache.commons.math3.analysis.UnivariateFunction;
+import org.apache.commons.math3.analysis.solvers.BisectionSolver;
 
 /**
  * A budget of one relay and the size at which today's design passes it.
@@ -29,31 +31,44 @@
         String mechanism,
         String state,
         String from) {
+    private static final double MOST_SIZE = 1e12; // a wall beyond it is none
+    private static final double RELATIVE = 1e-9; // accuracy of the size
+    private static final int MOST_STEPS = 200;
+
     /** The size as a share of the target. */
     public double share() {
         return size / target;
     }
 
-    /** Of a budget that is spent in proportion to the sum of some slopes. */
-    static Wall of(Plan plan, List<LinearFit> fits) {
-        double perOne = fits.stream().mapToDouble(LinearFit::slope).sum() * plan.factor();
-        double base =
-                Math.max(0, fits.stream().mapToDouble(LinearFit::intercept).sum()) * plan.factor();
-        double size = Math.max(0, plan.budget() - base) / perOne;
+    /** Of a budget that is spent by the sum of some costs. */
+    static Wall of(Plan plan, List<? extends UnivariateFunction> costs) {
+        UnivariateFunction sum = size -> plan.factor()
+                * costs.stream().mapToDouble(cost -> cost.value(size)).sum();
         return new Wall(
                 plan.resource(),
                 plan.unit(),
                 plan.budget(),
-                size,
+                sizeAt(plan.budget(), sum),
                 plan.target(),
-                base + perOne * plan.target(),
+                sum.value(plan.target()),
                 plan.after(),
-                plan.after() > 0 ? base + perOne * plan.after() : Double.NaN,
+                plan.after() > 0 ? sum.value(plan.after()) : Double.NaN,
                 plan.mechanism(),
                 plan.state(),
                 String.join(" + ", plan.slopes()));
     }
 
+    private static double sizeAt(double budget, UnivariateFunction cost) {
+        if (cost.value(0) >= budget) {
+            return 0;
+        }
+        if (cost.value(MOST_SIZE) <= budget) {
+            return MOST_SIZE;
+        }
+        return new BisectionSolver(RELATIVE, RELATIVE)
+                .solve(MOST_STEPS, size -> cost.value(size) - budget, 0, MOST_SIZE);
+    }
+
     /** Of a constant of the program. */
     static Wall constant(Plan plan) {
         return new Wall(
