lab scale: heap after collections that move everything, time as the least of five batches

On a busy machine the median of batches held what other programs did to the caches; the least is taken.

--- a/src/main/java/juniperusher/lab/scale/Meter.java
+++ b/src/main/java/juniperusher/lab/scale/Meter.java
@@ -4,12 +4,10 @@
 import java.lang.management.ManagementFactory;
 import java.lang.management.ThreadMXBean;
 import java.lang.ref.Reference;
-import java.util.Arrays;
 
 /** Measures retained heap and processor time of the calling thread. Not safe for use by several threads at once. */
 final class Meter {
-    private static final int MOST_COLLECTIONS = 5;
-    private static final long SETTLED_BYTES = 8192; // difference of two collections that counts as none
+    private static final int COLLECTIONS = serial() ? 4 : 2;
     private static final long WARM_UP_NANOS = 150_000_000;
     private static final long BATCH_NANOS = 20_000_000;
     private static final int BATCHES = 5;
@@ -40,31 +38,35 @@
         return after - before;
     }
 
+    /**
+     * Heap in use after collections. The serial collector leaves dead objects at the heap's start where they lie, up to
+     * a twentieth of the heap, at three of four full collections; the fourth moves everything.
+     */
     private static long settledHeap() {
-        long used = collect();
-        for (int i = 1; i < MOST_COLLECTIONS; i++) {
-            long next = collect();
-            if (Math.abs(used - next) < SETTLED_BYTES) {
-                return next;
-            }
-            used = next;
+        long least = Long.MAX_VALUE;
+        for (int i = 0; i < COLLECTIONS; i++) {
+            System.gc();
+            Runtime runtime = Runtime.getRuntime();
+            least = Math.min(least, runtime.totalMemory() - runtime.freeMemory());
         }
-        return used;
+        return least;
     }
 
-    private static long collect() {
-        System.gc();
-        Runtime runtime = Runtime.getRuntime();
-        return runtime.totalMemory() - runtime.freeMemory();
+    private static boolean serial() {
+        return ManagementFactory.getGarbageCollectorMXBeans().stream()
+                .anyMatch(collector -> collector.getName().equals("MarkSweepCompact"));
     }
 
-    /** Processor time in ns of one step: the median of several batches after a warm-up. */
+    /**
+     * Processor time in ns of one step: the least of several batches after a warm-up, as
+     * what else runs on the machine only adds to it.
+     */
     static double nanosPerStep(Step step) throws IOException {
         long warmUntil = cpuNanos() + WARM_UP_NANOS;
         for (int i = 0; i < MOST_STEPS && cpuNanos() < warmUntil; i++) {
             step.run();
         }
-        double[] batches = new double[BATCHES];
+        double least = Double.POSITIVE_INFINITY;
         for (int batch = 0; batch < BATCHES; batch++) {
             long from = cpuNanos();
             int steps = 0;
@@ -72,10 +74,9 @@
                 step.run();
                 steps++;
             }
-            batches[batch] = (double) (cpuNanos() - from) / steps;
+            least = Math.min(least, (double) (cpuNanos() - from) / steps);
         }
-        Arrays.sort(batches);
-        return batches[BATCHES / 2];
+        return least;
     }
 
     /** Processor time in ns of one run, for what cannot be repeated. */
