Storms: a round looks only at destinations of which something was heard

A destination that is calm, owes nothing, has few arrivals left in its span and has been told so changes by events alone; it is now skipped until one names it.

StormsTest, DestinationStormTest, SharesTest, VirtualEngineTest and FleetBudgetTest pass. Probes of destinations that are out still pass over all targets.

--- a/src/main/java/juniperusher/storm/DestinationStorm.java
+++ b/src/main/java/juniperusher/storm/DestinationStorm.java
@@ -252,6 +252,16 @@
         };
     }
 
+    /** Whether no later {@link #turn} changes anything, nor what it asks for, until it is told something. */
+    boolean settled(double now) {
+        return state == StormState.CALM
+                && !out
+                && !seenBack
+                && owed == 0
+                && arrivals.get(now) < LEAST_ARRIVALS // so that the share handed in again is none, and stays so
+                && !Double.isNaN(quietFrom);
+    }
+
     private Change to(StormState next, String reason) {
         Change change = new Change(state, next, reason);
         if (state == StormState.CALM || next == StormState.CALM) {
--- a/src/main/java/juniperusher/storm/Storms.java
+++ b/src/main/java/juniperusher/storm/Storms.java
@@ -3,9 +3,13 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.stream.Stream;
 import juniperusher.Protocol.Action;
 import juniperusher.Protocol.Advised;
 import juniperusher.Protocol.Arrived;
@@ -51,6 +55,8 @@
     private final double epoch;
     private final Shares shares;
     private final Map<Integer, DestinationStorm> destinations = new TreeMap<>();
+    // Those whose turn may change something; all others are calm and stay as they are until they are touched.
+    private final Set<Integer> active = new TreeSet<>();
     private final Map<Integer, Target> targets = new TreeMap<>();
     // the module's probes that are out, by target
     private final Map<Integer, Integer> asking = new HashMap<>();
@@ -110,7 +116,9 @@
                 advice.add(event);
             }
         }
-        destinations.forEach((number, storm) -> {
+        for (Iterator<Integer> numbers = active.iterator(); numbers.hasNext(); ) {
+            int number = numbers.next();
+            DestinationStorm storm = destinations.get(number);
             DestinationStorm.Change change = storm.turn(now, shares.part(number, epoch + now));
             if (change != null) {
                 changes++;
@@ -124,7 +132,10 @@
                 told.put(number, next);
                 advice.add(next);
             }
-        });
+            if (storm.settled(now)) {
+                numbers.remove();
+            }
+        }
         return advice;
     }
 
@@ -165,7 +176,9 @@
         return asked > 0;
     }
 
+    /** The destination, which is about to be told something. */
     private DestinationStorm at(int destination) {
+        active.add(destination);
         return destinations.computeIfAbsent(destination, key -> new DestinationStorm(settings, module.rules()));
     }
 
@@ -322,7 +335,8 @@
     // ---- notes ----
 
     private StormNote note(double now) {
-        List<Map.Entry<Integer, DestinationStorm>> stormy = destinations.entrySet().stream()
+        List<Map.Entry<Integer, DestinationStorm>> stormy = active.stream()
+                .map(number -> Map.entry(number, destinations.get(number)))
                 .filter(entry -> entry.getValue().state() != StormState.CALM)
                 .sorted(Comparator.comparingInt(entry -> -entry.getValue().owed()))
                 .limit(StormNote.MOST_ENTRIES)
@@ -397,6 +411,7 @@
             if (storm == null) {
                 continue; // never listed here
             }
+            active.add(entry.destination());
             if (entry.out()) {
                 storm.heardOut(now, now - entry.outAge());
             } else if (Double.isFinite(entry.backAge())) {
@@ -418,15 +433,22 @@
 
     /** How many destinations are in the state. */
     public int count(StormState state) {
-        return (int) destinations.values().stream()
-                .filter(storm -> storm.state() == state)
-                .count();
+        int inIt = (int) activeStorms().filter(storm -> storm.state() == state).count();
+        return state == StormState.CALM ? destinations.size() - active.size() + inIt : inIt;
     }
 
     /** How many destinations count as out. */
     public int out() {
-        return (int)
-                destinations.values().stream().filter(DestinationStorm::out).count();
+        return (int) activeStorms().filter(DestinationStorm::out).count();
+    }
+
+    private Stream<DestinationStorm> activeStorms() {
+        return active.stream().map(destinations::get);
+    }
+
+    /** How many destinations a round looks at. */
+    int active() {
+        return active.size();
     }
 
     /** Changes of state so far. */
--- a/src/test/java/juniperusher/storm/StormsTest.java
+++ b/src/test/java/juniperusher/storm/StormsTest.java
@@ -159,4 +159,20 @@
         storms.turnedAway(2, 98);
         assertTrue(storms.comesAgain(504, 98));
     }
+
+    @Test
+    void aRoundLooksOnlyAtDestinationsOfWhichSomethingWasHeard() {
+        before(0.1, List.of());
+        assertEquals(0, storms.active());
+        assertEquals(2, storms.count(StormState.CALM));
+        int message = arrives(0.2, 8);
+        assertEquals(1, storms.active());
+        before(0.3, List.of(new Ended(message, 0, 2, Outcome.DELIVERED, 0.1, true, 0, null)));
+        assertEquals(0, storms.active());
+        outage(1);
+        before(10, List.of());
+        assertEquals(1, storms.active(), "what is out is looked at");
+        assertEquals(StormState.STORM, storms.state(7));
+        assertEquals(1, storms.count(StormState.CALM));
+    }
 }
