--- a/src/main/java/juniperusher/lab/scale/StormSlopes.java
+++ b/src/main/java/juniperusher/lab/scale/StormSlopes.java
@@ -29,6 +29,7 @@
         return List.of(
                 new HeapOfDestinations(),
                 new CalmRound(),
+                new ActiveRound(),
                 new NoteBytes(),
                 new NoteDatagrams(),
                 new NoteTime(),
@@ -63,6 +64,15 @@
             return further;
         }
 
+        /** Holds a message for each destination. */
+        void holdOneEach(int destinations) {
+            List<Event> arrivals = new ArrayList<>();
+            for (int destination = 0; destination < destinations; destination++) {
+                arrivals.add(new Arrived(new Message(++messages, 0, 0, destination, 0, LEFT)));
+            }
+            round(arrivals);
+        }
+
         /** A note of this relay while destinations are down. */
         byte[] note() {
             for (double from = now; now < from + FAILING; now += STEP) {
@@ -113,6 +123,20 @@
         }
     }
 
+    /** Time of a round without events, by destinations for each of which one message is held. */
+    private static final class ActiveRound extends NamedSlope {
+        ActiveRound() {
+            super("storm.round.active", "ns", "destination with a held message");
+        }
+
+        @Override
+        public double measure(int size) throws IOException {
+            Fixture storms = new Fixture(0, 1, size);
+            storms.holdOneEach(size);
+            return Meter.nanosPerStep(() -> storms.round(List.of()));
+        }
+    }
+
     private static double notesPerSecond(int relays) {
         return (relays - 1) / StormSettings.USUAL.noteEvery();
     }
