--- a/src/main/java/juniperusher/lab/scale/StormSlopes.java
+++ b/src/main/java/juniperusher/lab/scale/StormSlopes.java
@@ -167,6 +167,9 @@
 
     /** Time to take one note of each other relay, by relays. */
     private static final class NoteTime extends NamedSlope {
+        private static final int WARM_UP = 50; // rounds
+        private static final int MEASURED = 50;
+
         NoteTime() {
             super("storm.notes.time", "ns", RELAY);
         }
@@ -175,10 +178,19 @@
         public double measure(int size) throws IOException {
             Fixture reader = new Fixture(0, size, ControlFixture.USUAL_DESTINATIONS);
             Fixture writer = new Fixture(1, size, ControlFixture.USUAL_DESTINATIONS);
-            return Meter.nanosPerStep(() -> {
-                writer.now += 1;
-                reader.round(fromAll(size, writer.note()));
+            List<byte[]> notes = new ArrayList<>(); // each is heard once only
+            for (int i = 0; i < WARM_UP + MEASURED; i++) {
+                notes.add(writer.note());
+            }
+            for (byte[] note : notes.subList(0, WARM_UP)) {
+                reader.round(fromAll(size, note));
+            }
+            double nanos = Meter.nanosOnce(() -> {
+                for (byte[] note : notes.subList(WARM_UP, notes.size())) {
+                    reader.round(fromAll(size, note));
+                }
             });
+            return nanos / MEASURED;
         }
     }
 
