--- a/src/test/java/juniperusher/lab/ExperimentTest.java
+++ b/src/test/java/juniperusher/lab/ExperimentTest.java
@@ -41,10 +41,10 @@
         return Experiment.of(written, variants);
     }
 
-    /** All but those of lab hollow, which HollowFleetTest reads by their own schema. */
+    /** All but those of lab hollow and lab scale, whose own tests read them by their own schemas. */
     static Stream<Path> files() throws IOException {
         return Files.list(Path.of("experiments"))
-                .filter(file -> !file.getFileName().toString().startsWith("hollow"));
+                .filter(file -> !file.getFileName().toString().matches("(hollow|scale).*"));
     }
 
     @ParameterizedTest
