Status reports go again on another connection while the first still waits (StatusReporter)

Need: `Notices` had one POST out at a time, waited 200 ms for its 204 and paused 50 ms, so that behind one silent connection a report and all behind it were 250 ms late, behind a second one 500 ms; 300 ms are allowed.

Change: `status.ReportQueue`, a state machine without I/O, decides what goes when; `http.StatusReporter` carries it out. One post is out while posts are answered. After 50 ms without an answer the next goes on a new connection (never on one that rested with the silent one) while the first still waits: what has never gone first, then what was sent longest ago. Pauses between repeats grow to 200 ms, eight posts are out at most, the oldest gives way after 400 ms. Answers count in any order, each callback runs once, a moved platform is told at its new address. Its connections are its own, so that those of the watch are not closed with them.

`ReportQueueTest`: 3,000 drawn scripts.

At the usual pace `ReportQueueTest` checks the order of each post.

--- a/src/main/java/juniperusher/http/Platform.java
+++ b/src/main/java/juniperusher/http/Platform.java
@@ -48,7 +48,7 @@
     private final Resolver resolver;
     private final Peers peers;
     private final PlatformFront front;
-    private final Notices notices;
+    private final StatusReporter notices;
     private final Closeable listener;
     private final Counters counters;
     private final Object held = new Object(); // orders what the module is told of discovery and maintenance
@@ -113,7 +113,7 @@
                 peers::send,
                 storms == null ? null : new StormCompanion(storms, first, counters));
         made[0] = relay;
-        notices = new Notices(() -> config.get().discovery(), pool, network);
+        notices = new StatusReporter(() -> config.get().discovery(), pool, network);
         counters.gauge("notices_waiting", notices::waiting);
         counters.gauge("connections_in", network.inbound()::size);
         counters.gauge("connections_shed", network::shed);
--- a/src/main/java/juniperusher/http/PlatformFront.java
+++ b/src/main/java/juniperusher/http/PlatformFront.java
@@ -33,12 +33,12 @@
 
     private final Config first; // what may not change while the relay runs: the listening address
     private final java.util.function.Supplier<Config> config; // the classes in force
-    private final Notices notices;
+    private final StatusReporter notices;
     private final Counters counters;
     private final Relay relay;
     private volatile boolean closing;
 
-    PlatformFront(java.util.function.Supplier<Config> config, Notices notices, Counters counters, Relay relay) {
+    PlatformFront(java.util.function.Supplier<Config> config, StatusReporter notices, Counters counters, Relay relay) {
         this.config = config;
         first = config.get();
         this.notices = notices;
--- a/src/test/java/juniperusher/ImportsTest.java
+++ b/src/test/java/juniperusher/ImportsTest.java
@@ -146,6 +146,24 @@
                             "java.util.concurrent",
                             "java.lang.System",
                             "java.time")),
+            Map.entry(
+                    "status",
+                    List.of(
+                            "juniperusher.core",
+                            "juniperusher.http",
+                            "juniperusher.amqp",
+                            "juniperusher.net",
+                            "juniperusher.cli",
+                            "juniperusher.sim",
+                            "juniperusher.Control",
+                            "org.eclipse.jetty",
+                            "com.eclipsesource",
+                            "java.io",
+                            "java.net",
+                            "java.nio",
+                            "java.util.concurrent",
+                            "java.lang.System",
+                            "java.time")),
             Map.entry(
                     "lab/fleet",
                     List.of(
--- /dev/null
+++ b/src/test/java/juniperusher/status/ReportQueueTest.java
@@ -0,0 +1,253 @@
+package juniperusher.status;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.Set;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import org.junit.jupiter.api.Test;
+
+/** What goes when: the machine alone by hand, then with losses that are drawn. */
+class ReportQueueTest {
+    private static final String SEED = "20261202";
+    private static final ReportTiming TIMING = ReportTiming.USUAL;
+
+    private final ReportQueue<String> queue = new ReportQueue<>(TIMING);
+
+    private static Step.Post<String> post(int number, boolean newConnection, String... reports) {
+        return new Step.Post<>(number, List.of(reports), newConnection);
+    }
+
+    private static Step.Acknowledged<String> acknowledged(String report) {
+        return new Step.Acknowledged<>(report);
+    }
+
+    private static Step.Abandon<String> abandon(int number) {
+        return new Step.Abandon<>(number);
+    }
+
+    @Test
+    void whilePostsAreAnsweredOneIsOutAndTheNextCarriesAllThatCameMeanwhile() {
+        assertEquals(List.of(post(1, false, "a")), queue.add("a", 0));
+        assertEquals(List.of(), queue.add("b", 1));
+        assertEquals(List.of(), queue.add("c", 2));
+        assertEquals(List.of(acknowledged("a"), post(2, false, "b", "c")), queue.answered(1, 3));
+        assertEquals(List.of(acknowledged("b"), acknowledged("c")), queue.answered(2, 4));
+        assertEquals(0, queue.waiting());
+        assertEquals(ReportQueue.NEVER, queue.nextPostAt());
+    }
+
+    @Test
+    void whatIsNotAnsweredGoesAgainOnANewConnectionWhileTheFirstStillWaits() {
+        queue.add("a", 0);
+        assertEquals(50, queue.nextPostAt());
+        assertEquals(List.of(), queue.tick(49));
+        assertEquals(List.of(post(2, true, "a")), queue.tick(50));
+        assertTrue(queue.isOut(1));
+        assertEquals(List.of(acknowledged("a"), abandon(1)), queue.answered(2, 51));
+        assertEquals(List.of(), queue.answered(1, 60), "told once");
+        assertEquals(List.of(post(3, false, "b")), queue.add("b", 61));
+    }
+
+    @Test
+    void theFirstOnesAnswerCountsAfterASecondPost() {
+        queue.add("a", 0);
+        queue.tick(50);
+        assertEquals(List.of(acknowledged("a"), abandon(2)), queue.answered(1, 70));
+        assertEquals(0, queue.waiting());
+    }
+
+    @Test
+    void whatHasNeverGoneGoesFirstAndDoesNotWaitForASilentPost() {
+        queue.add("a", 0);
+        queue.add("b", 10);
+        assertEquals(List.of(post(2, true, "b", "a")), queue.tick(50));
+        queue.add("c", 60);
+        assertEquals(List.of(post(3, true, "c", "b", "a")), queue.tick(100));
+        queue.add("d", 101);
+        assertEquals(150, queue.nextPostAt(), "what is new never waits for a growing pause");
+    }
+
+    @Test
+    void aSecondAndAThirdSilentConnectionCostAHundredAndTwoHundredMilliseconds() {
+        queue.add("a", 0);
+        List<Long> times = new ArrayList<>();
+        while (times.size() < 6) {
+            long at = queue.nextPostAt();
+            queue.tick(at);
+            times.add(at);
+        }
+        assertEquals(List.of(50L, 100L, 200L, 400L, 600L, 800L), times, "the pause grows, up to 200 ms");
+    }
+
+    @Test
+    void theBoundOnPostsHoldsAndTheOldestGivesWayOnceItHasHadItsPatience() {
+        for (int i = 0; i < 8; i++) {
+            queue.add("r" + i, i * 50); // each due just when the one before has waited long enough
+        }
+        assertEquals(List.of(), queue.add("late", 399));
+        assertEquals(400, queue.nextPostAt());
+        List<Step<String>> steps = queue.tick(400);
+        assertEquals(abandon(1), steps.get(0));
+        assertEquals(
+                "late", ((Step.Post<String>) steps.get(1)).reports().get(0), "what has never gone stands in front");
+    }
+
+    @Test
+    void aBrokenConnectionCostsNothingAndARefusalAPause() {
+        queue.add("a", 0);
+        assertEquals(List.of(post(2, true, "a")), queue.failed(1, 1));
+        assertEquals(List.of(), queue.failed(2, 2));
+        assertEquals(52, queue.nextPostAt());
+        assertEquals(List.of(), queue.add("b", 3), "the platform refuses connections just now");
+        assertEquals(List.of(post(3, true, "b", "a")), queue.tick(52));
+    }
+
+    @Test
+    void afterAnAnswerAllThatWaitsGoesAtOnceAHundredAtATime() {
+        queue.add("first", 0);
+        for (int i = 0; i < 250; i++) {
+            queue.add("r" + i, 1);
+        }
+        int number = 1;
+        List<Integer> sizes = new ArrayList<>();
+        while (queue.waiting() > 0) {
+            for (Step<String> step : queue.answered(number, 2)) {
+                if (step instanceof Step.Post<String> post) {
+                    number = post.number();
+                    sizes.add(post.reports().size());
+                }
+            }
+        }
+        assertEquals(List.of(100, 100, 50), sizes);
+    }
+
+    @Test
+    void theTimeOfAPostCountsFromItsHandingOver() {
+        queue.add("a", 0);
+        queue.posted(1, 120);
+        assertEquals(170, queue.nextPostAt());
+    }
+
+    @Test
+    void twoThatAreEqualAreBothTold() {
+        queue.add("a", 0);
+        queue.add("a", 1);
+        queue.answered(1, 2);
+        assertEquals(List.of(acknowledged("a")), queue.answered(2, 3));
+    }
+
+    /** A platform in virtual time whose answers, failures and silence are drawn, and the checks on each step. */
+    private static final class World {
+        final ReportQueue<Integer> queue = new ReportQueue<>(TIMING);
+        final Random drawn;
+        final Map<Integer, List<Integer>> out = new HashMap<>();
+        final Map<Integer, Long> addedAt = new HashMap<>();
+        final Set<Integer> sent = new HashSet<>();
+        final Set<Integer> acknowledged = new HashSet<>();
+        final PriorityQueue<Event> events = new PriorityQueue<>((a, b) -> Long.compare(a.at, b.at));
+        long now;
+        boolean healthy;
+        int added;
+
+        record Event(long at, int post, boolean answer) {}
+
+        World(long seed) {
+            drawn = new Random(seed);
+        }
+
+        void add() {
+            addedAt.put(added, now);
+            carryOut(queue.add(added++, now));
+        }
+
+        void run(long until) {
+            while (true) {
+                long event = events.isEmpty() ? Long.MAX_VALUE : events.peek().at;
+                long next = Math.min(event, queue.nextPostAt());
+                if (next > until) {
+                    break;
+                }
+                now = Math.max(now, next);
+                if (event <= next) {
+                    happen(events.poll());
+                } else {
+                    carryOut(queue.tick(now));
+                }
+            }
+            now = until;
+        }
+
+        private void happen(Event event) {
+            List<Integer> carried = out.remove(event.post);
+            List<Step<Integer>> steps = event.answer ? queue.answered(event.post, now) : queue.failed(event.post, now);
+            for (Step<Integer> step : steps) {
+                if (step instanceof Step.Acknowledged<Integer> done) {
+                    assertTrue(
+                            carried != null && carried.contains(done.report()), "acknowledged without an answer to it");
+                }
+            }
+            carryOut(steps);
+        }
+
+        private void carryOut(List<Step<Integer>> steps) {
+            for (Step<Integer> step : steps) {
+                if (step instanceof Step.Post<Integer> post) {
+                    send(post);
+                } else if (step instanceof Step.Abandon<Integer> abandon) {
+                    out.remove(abandon.number());
+                } else if (step instanceof Step.Acknowledged<Integer> done) {
+                    assertTrue(acknowledged.add(done.report()), "acknowledged twice");
+                }
+            }
+            assertTrue(out.size() <= TIMING.posts(), "more posts out than the bound");
+            assertEquals(added - acknowledged.size(), queue.waiting());
+        }
+
+        private void send(Step.Post<Integer> post) {
+            assertTrue(!post.reports().isEmpty() && post.reports().size() <= TIMING.reportsPerPost(), "size of a post");
+            out.put(post.number(), post.reports());
+            boolean repeatsBefore = false;
+            for (int report : post.reports()) {
+                boolean first = sent.add(report);
+                assertTrue(!first || !repeatsBefore, "a repeat stands before what has never gone");
+                repeatsBefore |= !first;
+                assertTrue(
+                        !first || now - addedAt.get(report) <= TIMING.patience() + TIMING.hedgeAfter(),
+                        "has waited too long for its first sending");
+            }
+            int fate = healthy ? 0 : drawn.nextInt(4);
+            if (fate < 3) { // else it stays silent
+                long after = healthy ? 1 : 1 + drawn.nextInt(fate == 0 ? 10 : 600);
+                events.add(new Event(now + after, post.number(), fate != 2));
+            }
+        }
+    }
+
+    @Property(tries = 3_000, seed = SEED)
+    void underDrawnLossesEachIsToldOnceAndAllSoonAfterTheReturn(
+            @ForAll @Size(max = 60) List<@IntRange(max = 719) Integer> script, @ForAll long losses) {
+        World world = new World(losses);
+        for (int code : script) {
+            for (int i = 0; i < code % 6; i++) {
+                world.add();
+            }
+            world.run(world.now + code / 6);
+        }
+        world.healthy = true;
+        // The posts out may be silent; a slot comes free with the patience of the oldest.
+        world.run(world.now + TIMING.patience() + TIMING.slowestHedge());
+        assertEquals(world.added, world.acknowledged.size(), "not all acknowledged");
+        assertEquals(0, world.queue.waiting());
+    }
+}
