--- a/src/main/java/juniperusher/core/SharedWaits.java
+++ b/src/main/java/juniperusher/core/SharedWaits.java
@@ -3,14 +3,13 @@
 import java.io.IOException;
 import java.nio.channels.FileChannel;
 import java.nio.channels.FileLock;
-import java.nio.file.AtomicMoveNotSupportedException;
 import java.nio.file.Files;
 import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
-import java.nio.file.StandardCopyOption;
 import java.nio.file.StandardOpenOption;
 import java.util.HashMap;
 import java.util.Map;
+import juniperusher.files.ReplacedFile;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -57,14 +56,7 @@
         StringBuilder text = new StringBuilder();
         all.forEach(
                 (number, until) -> text.append(number).append(' ').append(until).append('\n'));
-        Path beside = folder.resolve(NAME + ".new-" + ProcessHandle.current().pid());
-        Files.writeString(beside, text);
-        try {
-            Files.move(
-                    beside, folder.resolve(NAME), StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
-        } catch (AtomicMoveNotSupportedException e) {
-            Files.move(beside, folder.resolve(NAME), StandardCopyOption.REPLACE_EXISTING);
-        }
+        ReplacedFile.write(folder.resolve(NAME), text.toString());
     }
 
     /** The waits that are not over, if they changed since they were handed on last; else null. */
--- a/src/main/java/juniperusher/maintenance/MaintenanceFile.java
+++ b/src/main/java/juniperusher/maintenance/MaintenanceFile.java
@@ -1,11 +1,10 @@
 package juniperusher.maintenance;
 
 import java.io.IOException;
-import java.nio.file.AtomicMoveNotSupportedException;
 import java.nio.file.Files;
 import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
-import java.nio.file.StandardCopyOption;
+import juniperusher.files.ReplacedFile;
 
 /**
  * The maintenance in the folder that lasts, as the file {@code maintenance}. It is written whole beside and
@@ -37,14 +36,6 @@
     /** Writes it whole, then moves it into place: before this returns, a reader finds it. */
     public void write(Maintenance maintenance) throws IOException {
         Files.createDirectories(folder);
-        // The other process of an upgrade may write at the same moment: each writes a file of its own.
-        Path beside = folder.resolve(NAME + ".new-" + ProcessHandle.current().pid());
-        Files.writeString(beside, maintenance.text());
-        try {
-            Files.move(
-                    beside, folder.resolve(NAME), StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
-        } catch (AtomicMoveNotSupportedException e) {
-            Files.move(beside, folder.resolve(NAME), StandardCopyOption.REPLACE_EXISTING);
-        }
+        ReplacedFile.write(folder.resolve(NAME), maintenance.text());
     }
 }
--- a/src/test/java/juniperusher/ImportsTest.java
+++ b/src/test/java/juniperusher/ImportsTest.java
@@ -146,6 +146,18 @@
                             "java.util.concurrent",
                             "java.lang.System",
                             "java.time")),
+            Map.entry(
+                    "files",
+                    List.of(
+                            "juniperusher.core",
+                            "juniperusher.http",
+                            "juniperusher.amqp",
+                            "juniperusher.net",
+                            "juniperusher.cli",
+                            "juniperusher.maintenance",
+                            "org.eclipse.jetty",
+                            "java.net",
+                            "java.util.concurrent")),
             Map.entry(
                     "status",
                     List.of(
