--- a/src/main/java/juniperusher/lab/VirtualEngine.java
+++ b/src/main/java/juniperusher/lab/VirtualEngine.java
@@ -48,7 +48,6 @@
     private static final double ROUNDING = 1e-9; // s by which sums of times may differ
     private static final double PROBE = 1.5; // s after which an unanswered probe has failed
     private static final double FULL = 0.5; // s that a relay without room tells
-    // kinds of random numbers of a destination, after those of NOTES and RELAYS
 
     private final Plan plan;
     private final Settings settings;
