--- a/src/main/java/juniperusher/lab/report/Report.java
+++ b/src/main/java/juniperusher/lab/report/Report.java
@@ -5,13 +5,11 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Arrays;
-import java.util.Base64;
 import java.util.List;
 import java.util.Locale;
 import java.util.stream.IntStream;
 import juniperusher.lab.Run;
 import juniperusher.lab.Tally;
-import org.knowm.xchart.BitmapEncoder;
 import org.knowm.xchart.XYChart;
 import org.knowm.xchart.XYChartBuilder;
 import org.knowm.xchart.style.Styler;
@@ -47,42 +45,43 @@
         StringBuilder out = new StringBuilder("<!doctype html><html lang=\"en\"><head>")
                 .append("<meta charset=\"utf-8\">")
                 .append("<title>")
-                .append(safe(results.title()))
+                .append(Html.escaped(results.title()))
                 .append("</title><style>")
                 .append(STYLE)
                 .append("</style></head><body><h1>")
-                .append(safe(results.title()))
+                .append(Html.escaped(results.title()))
                 .append("</h1><p>")
                 .append(results.runs().size())
                 .append(" runs, engine ")
-                .append(safe(results.engine()))
+                .append(Html.escaped(results.engine()))
                 .append(".</p>");
         if (!results.judged().isEmpty()) {
             out.append("<h2>Expected</h2><ul>");
             results.judged()
                     .forEach(one -> out.append(one.held() ? "<li>holds: " : "<li class=\"fails\">FAILS: ")
-                            .append(safe(one.text()))
+                            .append(Html.escaped(one.text()))
                             .append("</li>"));
             out.append("</ul>");
         }
         results.runs().stream().filter(run -> !run.broken().isEmpty()).forEach(run -> {
             out.append("<h2 class=\"fails\">Broken: ")
-                    .append(safe(run.variant()))
+                    .append(Html.escaped(run.variant()))
                     .append(", seed ")
                     .append(run.seed())
                     .append("</h2><ul>");
-            run.broken().forEach(one -> out.append("<li>").append(safe(one)).append("</li>"));
+            run.broken()
+                    .forEach(one -> out.append("<li>").append(Html.escaped(one)).append("</li>"));
             out.append("</ul>");
         });
         figures(results, out);
-        out.append("<h2>Latency by percentile</h2>").append(image(latency(results)));
+        out.append("<h2>Latency by percentile</h2>").append(Html.image(latency(results)));
         for (String variant : results.variants()) {
             Run run = results.runs().stream()
                     .filter(one -> one.variant().equals(variant))
                     .findFirst()
                     .orElseThrow();
             out.append("<h2>")
-                    .append(safe(variant))
+                    .append(Html.escaped(variant))
                     .append(", seed ")
                     .append(run.seed())
                     .append("</h2>");
@@ -92,7 +91,7 @@
                     List.of("storms", "recovering"),
                     List.of("worth asked, struck", "worth won, struck"),
                     List.of("worth asked, sound", "worth won, sound"))) {
-                out.append(image(time(run, lines)));
+                out.append(Html.image(time(run, lines)));
             }
         }
         return out.append("</body></html>\n").toString();
@@ -101,7 +100,8 @@
     private static void figures(Results results, StringBuilder out) {
         out.append("<h2>Figures: mean (least to most)</h2><table><tr><th></th>");
         results.variants()
-                .forEach(variant -> out.append("<th>").append(safe(variant)).append("</th>"));
+                .forEach(variant ->
+                        out.append("<th>").append(Html.escaped(variant)).append("</th>"));
         out.append("</tr>");
         for (String figure : results.figures()) {
             out.append("<tr><td>").append(figure).append("</td>");
@@ -172,21 +172,4 @@
         }
         return chart;
     }
-
-    private static String image(XYChart chart) throws IOException {
-        if (chart.getSeriesMap().isEmpty()) {
-            return "";
-        }
-        return "<p><img alt=\"" + safe(chart.getTitle()) + "\" src=\"data:image/png;base64,"
-                + Base64.getEncoder()
-                        .encodeToString(BitmapEncoder.getBitmapBytes(chart, BitmapEncoder.BitmapFormat.PNG))
-                + "\"></p>";
-    }
-
-    private static String safe(String text) {
-        return text.replace("&", "&amp;")
-                .replace("<", "&lt;")
-                .replace(">", "&gt;")
-                .replace("\"", "&quot;");
-    }
 }
--- a/src/main/java/juniperusher/lab/scale/ScaleReport.java
+++ b/src/main/java/juniperusher/lab/scale/ScaleReport.java
@@ -4,10 +4,9 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.Base64;
 import java.util.List;
 import java.util.Locale;
-import org.knowm.xchart.BitmapEncoder;
+import juniperusher.lab.report.Html;
 import org.knowm.xchart.XYChart;
 import org.knowm.xchart.XYChartBuilder;
 import org.knowm.xchart.XYSeries;
@@ -33,18 +32,21 @@
 
     private static String page(ScaleResults results) throws IOException {
         StringBuilder out = new StringBuilder("<!doctype html><html lang=\"en\"><head><meta charset=\"utf-8\"><title>")
-                .append(escaped(results.title()))
+                .append(Html.escaped(results.title()))
                 .append("</title><style>")
                 .append(STYLE)
                 .append("</style></head><body><h1>")
-                .append(escaped(results.title()))
+                .append(Html.escaped(results.title()))
                 .append("</h1><p>")
-                .append(escaped(ScaleResults.machine()))
+                .append(Html.escaped(ScaleResults.machine()))
                 .append("</p>");
         slopes(results.slopes(), out);
         walls(results.walls(), out);
         for (SlopeResult slope : results.slopes()) {
-            out.append("<h2>").append(escaped(slope.name())).append("</h2>").append(plot(slope));
+            out.append("<h2>")
+                    .append(Html.escaped(slope.name()))
+                    .append("</h2>")
+                    .append(plot(slope));
         }
         return out.append("</body></html>\n").toString();
     }
@@ -96,7 +98,7 @@
 
     private static void cells(StringBuilder out, String... texts) {
         for (String text : texts) {
-            out.append("<td>").append(escaped(text)).append("</td>");
+            out.append("<td>").append(Html.escaped(text)).append("</td>");
         }
         out.append("</tr>");
     }
@@ -131,16 +133,6 @@
                     fit.intercept(), fit.intercept() + fit.slope() * most
                 })
                 .setMarker(SeriesMarkers.NONE);
-        return "<p><img alt=\"" + escaped(slope.name()) + "\" src=\"data:image/png;base64,"
-                + Base64.getEncoder()
-                        .encodeToString(BitmapEncoder.getBitmapBytes(chart, BitmapEncoder.BitmapFormat.PNG))
-                + "\"></p>";
-    }
-
-    private static String escaped(String text) {
-        return text.replace("&", "&amp;")
-                .replace("<", "&lt;")
-                .replace(">", "&gt;")
-                .replace("\"", "&quot;");
+        return Html.image(chart);
     }
 }
