--- a/src/test/java/juniperusher/lab/scale/ScaleExperimentTest.java
+++ b/src/test/java/juniperusher/lab/scale/ScaleExperimentTest.java
@@ -10,6 +10,7 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
 import java.util.TreeSet;
@@ -57,6 +58,26 @@
         assertEquals(new TreeSet<>(SlopeCatalog.slopes(0).keySet()), measured);
     }
 
+    @Test
+    void theCapacityPageHasEverySlopeAndEveryWallOfTheLargeForm() throws IOException {
+        String page = Files.readString(Path.of("docs/CAPACITY.md"));
+        JsonObject file = json(Path.of("experiments/scale.toml"));
+        List<String> missing = new ArrayList<>();
+        file.get("slopes").asArray().forEach(one -> {
+            String row = "| `" + one.asObject().getString("name", "") + "` |";
+            if (!page.contains(row)) {
+                missing.add(row);
+            }
+        });
+        file.get("walls").asArray().forEach(one -> {
+            String cell = "| " + one.asObject().getString("resource", "") + " |";
+            if (!page.contains(cell)) {
+                missing.add(cell);
+            }
+        });
+        assertEquals(List.of(), missing);
+    }
+
     @ParameterizedTest
     @CsvSource(delimiter = '|', quoteCharacter = '"', textBlock = """
             szes = [1]                                       | x.toml:5: 'slopes.0.szes' is not known
