The digest of a shard map is safe to ask for from several threads

A flag beside a plain field could have been seen by another thread before the digest itself, which it would then have taken for 0 and refused a delta by. One volatile field does without the flag. Found by reading; no test can force it.

--- a/src/main/java/juniperusher/shard/ShardMap.java
+++ b/src/main/java/juniperusher/shard/ShardMap.java
@@ -20,8 +20,7 @@
     private final int to;
     private final RelayTable table;
     private final RangeColumns columns;
-    private long digest; // computed on first use; a race computes the same value twice
-    private boolean digested;
+    private volatile long digest; // 0 until its first use; two threads may compute the same value
 
     /** For the package: checks all invariants. The columns are not changed from then on. */
     ShardMap(long epoch, int from, int to, RelayTable table, RangeColumns columns) {
@@ -265,11 +264,12 @@
 
     /** A hash of the whole content, the same in every process; tells maps of one epoch apart. Computed once. */
     public long digest() {
-        if (!digested) {
-            digest = computeDigest();
-            digested = true;
+        long known = digest;
+        if (known == 0) {
+            known = computeDigest();
+            digest = known;
         }
-        return digest;
+        return known;
     }
 
     private long computeDigest() {
