Distribution: relays return to the source that they prefer; an empty change is refused

Need: a control process that was restarted had no relays any more until others failed, and a leader took an empty change that its subscribers skip. Change: who reads another source than its first tries that again after 10 to 20 minutes.

--- a/src/main/java/juniperusher/distribution/Publisher.java
+++ b/src/main/java/juniperusher/distribution/Publisher.java
@@ -186,7 +186,7 @@
      * Publishes changes of the leader's state, all or, if one is damaged, none.
      *
      * @throws IllegalStateException if this process does not lead
-     * @throws IllegalArgumentException if a change has too many bytes
+     * @throws IllegalArgumentException if a change has no bytes or too many
      */
     public List<PublisherStep> publish(List<byte[]> deltas, double time) throws DamagedStateException {
         pass(time);
@@ -194,9 +194,9 @@
             throw new IllegalStateException("this process does not lead");
         }
         for (byte[] delta : deltas) {
-            if (delta.length > limits.changeBytes()) {
+            if (delta.length == 0 || delta.length > limits.changeBytes()) {
                 throw new IllegalArgumentException(
-                        "a change of " + delta.length + " bytes, more than " + limits.changeBytes());
+                        "a change of " + delta.length + " bytes, not 1 to " + limits.changeBytes());
             }
         }
         state = codec.applyAll(state, deltas);
--- a/src/main/java/juniperusher/distribution/Subscriber.java
+++ b/src/main/java/juniperusher/distribution/Subscriber.java
@@ -49,6 +49,7 @@
     private long received; // messages on it
     private double heardAt;
     private double moveAt = NEVER; // when to look for a source that is not stale
+    private double returnAt = NEVER; // when to try the first source again
     private double nextAt = NEVER; // when to connect, or when the attempt is given up
     private int failures; // since something was last right
     private Assembly assembly; // the whole state that is coming in, or null
@@ -166,6 +167,7 @@
         }
         phase = Phase.SUBSCRIBED;
         heardAt = time;
+        returnAt = source == 0 ? NEVER : time + timing.returnAfter() * (1 + random.nextDouble());
         received = 0;
         acknowledged.clear();
         acknowledged.add(new Acknowledged(0, time));
@@ -195,6 +197,9 @@
             breakOff(Reason.SILENCE, steps);
         } else if (phase == Phase.SUBSCRIBED && now >= moveAt) {
             breakOff(Reason.STALE_SOURCE, steps);
+        } else if (phase == Phase.SUBSCRIBED && now >= returnAt) {
+            breakOff(Reason.PREFERENCE, 0, steps);
+            source = 0;
         }
         if (phase == Phase.PAUSING && now >= nextAt) {
             phase = Phase.CONNECTING;
@@ -207,7 +212,7 @@
 
     /** When {@link #tick} has something to do next. */
     public double due() {
-        return phase == Phase.SUBSCRIBED ? Math.min(heardAt + timing.silence(), moveAt) : nextAt;
+        return phase == Phase.SUBSCRIBED ? Math.min(heardAt + timing.silence(), Math.min(moveAt, returnAt)) : nextAt;
     }
 
     private void breakOff(Reason reason, List<SubscriberStep<S>> steps) {
@@ -231,6 +236,7 @@
     private void forgetConnection() {
         assembly = null;
         moveAt = NEVER;
+        returnAt = NEVER;
         acknowledged.clear();
     }
 
--- a/src/main/java/juniperusher/distribution/SubscriberStep.java
+++ b/src/main/java/juniperusher/distribution/SubscriberStep.java
@@ -47,6 +47,8 @@
         OUTDATED_TERM,
         /** The source has not been current itself for too long. */
         STALE_SOURCE,
+        /** Another source is preferred and may be back. */
+        PREFERENCE,
         /** The source has no room now and said when to come again. */
         BUSY,
         /** A state or a change was damaged. */
--- a/src/main/java/juniperusher/distribution/Timing.java
+++ b/src/main/java/juniperusher/distribution/Timing.java
@@ -11,6 +11,8 @@
  * @param longestPause the longest pause of a relay before any attempt
  * @param longestControlPause the same of a control process, of which there are few and for which relays wait
  * @param tooStale the age of a publisher beyond which its subscriber looks for another one
+ * @param returnAfter after which a subscriber of another source than the first tries that again, doubled at most, so
+ *     that who came back gets its share
  * @param batch the shortest time between two deltas to one subscriber, so that changes of a burst share frames
  */
 public record Timing(
@@ -22,9 +24,10 @@
         double longestPause,
         double longestControlPause,
         double tooStale,
+        double returnAfter,
         double batch) {
     /** Leaves 13 s room for a killed control process: silence, pauses and a second attempt take under 8 s. */
-    public static final Timing USUAL = new Timing(1, 3, 10, 2, 0.5, 6, 1, 4, 0.1);
+    public static final Timing USUAL = new Timing(1, 3, 10, 2, 0.5, 6, 1, 4, 600, 0.1);
 
     /** Checks that the times fit each other. */
     public Timing {
@@ -36,6 +39,7 @@
                 && longestPause >= firstPause
                 && longestControlPause >= firstPause
                 && connectPatience > 0
+                && returnAfter > 0
                 && batch >= 0)) {
             throw new IllegalArgumentException(
                     "pauses and patience have to be positive, the longest pauses the longest");
--- a/src/test/java/juniperusher/distribution/DistributionWorldTest.java
+++ b/src/test/java/juniperusher/distribution/DistributionWorldTest.java
@@ -58,11 +58,6 @@
         assertEquals(Files.readString(Path.of("src/test/resources/timelines", name + ".txt")), world.drawn());
     }
 
-    private static String sourceOf(DistributionWorld world, String relay) {
-        assertNotEquals(null, world.source(relay));
-        return world.source(relay);
-    }
-
     /** A control process that relays follow and that does not lead. */
     private static String follower(DistributionWorld world) {
         return world.relays().stream()
@@ -108,6 +103,25 @@
         drawn("control-killed", world);
     }
 
+    /** Else a control process that was restarted would have no relays until the others fail. */
+    @Test
+    void relaysReturnToTheSourceThatTheyPrefer() {
+        DistributionWorld world = settled(setting(3, 12, 15));
+        List<String> own = world.relays().stream()
+                .filter(relay -> "c2".equals(world.source(relay)))
+                .toList();
+        assertFalse(own.isEmpty());
+        world.kill("c2");
+        world.run(20);
+        world.start("c2");
+        world.run(20 + 2 * Timing.USUAL.returnAfter());
+        for (String relay : own) {
+            assertEquals("c2", world.source(relay));
+            assertEquals(1, world.breaks(relay, Reason.PREFERENCE));
+        }
+        converged(world);
+    }
+
     @Test
     void theLeaderKilledInTheMiddleOfADelta() {
         for (int seed = 0; seed < 50; seed++) {
--- a/src/test/java/juniperusher/distribution/PublisherTest.java
+++ b/src/test/java/juniperusher/distribution/PublisherTest.java
@@ -305,6 +305,7 @@
         List<byte[]> deltas = List.of(LedgerCodec.change(2, 20), damaged);
         assertThrows(DamagedStateException.class, () -> publisher.publish(deltas, now));
         assertThrows(IllegalArgumentException.class, () -> publisher.publish(List.of(new byte[101]), now));
+        assertThrows(IllegalArgumentException.class, () -> publisher.publish(List.of(new byte[0]), now));
         assertEquals(new Version(1, 2), publisher.newest());
         assertEquals(Ledger.EMPTY, publisher.state());
     }
@@ -314,7 +315,7 @@
         assertThrows(
                 IllegalArgumentException.class,
                 () -> new Limits(3, 400, 8, 100, 100, 2 << 20, 1, 5, 10_000, 10, 4 << 20, 30));
-        assertThrows(IllegalArgumentException.class, () -> new Timing(1, 1.5, 10, 2, 0.5, 6, 1, 4, 0.1));
-        assertThrows(IllegalArgumentException.class, () -> new Timing(1, 3, 10, 2, 0.5, 6, 1, 2, 0.1));
+        assertThrows(IllegalArgumentException.class, () -> new Timing(1, 1.5, 10, 2, 0.5, 6, 1, 4, 600, 0.1));
+        assertThrows(IllegalArgumentException.class, () -> new Timing(1, 3, 10, 2, 0.5, 6, 1, 2, 600, 0.1));
     }
 }
