--- a/src/main/java/juniperusher/distribution/Publisher.java
+++ b/src/main/java/juniperusher/distribution/Publisher.java
@@ -1,8 +1,6 @@
 package juniperusher.distribution;
 
-import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -22,7 +20,8 @@
  * by {@link #received} and the end of a connection that it did not close itself by {@link #closed}; it carries the
  * returned steps out in their order before the next call; it calls {@link #tick} at {@link #due}, which each call
  * may have moved. A message that was sent counts as on its way until it is acknowledged, so the adapter may hand it
- * to the socket's queue without a bound of its own. Before {@link #publish} it asks its lease whether it holds.
+ * to the socket's queue without a bound of its own. Before {@link #publish} it asks its lease whether it holds, and
+ * before {@link #tick} it ticks the lease, so that a leader that stood still does not call itself current.
  *
  * @param <S> the state
  */
@@ -42,7 +41,7 @@
     private final Map<Version, ControlMessage.Delta> shared = new LinkedHashMap<>(); // by the version before it
     private final Counters counters = new Counters();
     private S state; // null for none yet
-    private Image image; // the newest encoded state, or null
+    private EncodedState image; // the newest encoded state, or null
     private long term; // the newest that was seen
     private long leads; // the term under which this process leads, 0 for none
     private long led; // the last such term
@@ -104,37 +103,6 @@
             int imageBytes,
             int snapshotsUnderWay) {}
 
-    /** An encoded state. */
-    private record Image(Version version, List<ControlMessage.SnapshotPart> parts, int bytes) {}
-
-    /** A message on its way. */
-    private record Sent(long number, int bytes) {}
-
-    /** One subscriber's connection. */
-    private static final class Subscription {
-        final long connection;
-        final String name;
-        final boolean republishes;
-        Version sent; // the version that it has once it has all that was sent
-        Image snapshot; // under way to it, or null
-        int nextPart;
-        double snapshotAt; // when it began
-        final ArrayDeque<Sent> inFlight = new ArrayDeque<>();
-        int inFlightBytes;
-        long messages;
-        long acknowledged;
-        double heardAt; // when the last acknowledgement came, or the subscription
-        boolean confirmed; // whether it was told of its being current once it was
-        double progressAt; // when something was acknowledged, or sent while nothing was on its way
-
-        Subscription(long connection, ControlMessage.Subscribe subscribe) {
-            this.connection = connection;
-            name = subscribe.subscriber();
-            republishes = subscribe.republishes();
-            sent = subscribe.has();
-        }
-    }
-
     /** A publisher without a state: who subscribes waits for it, and is told that it is not current. */
     public Publisher(Timing timing, Limits limits, StateCodec<S> codec, long seed) {
         this.timing = timing;
@@ -312,30 +280,26 @@
             refuse(connection, timing.heartbeat() * (1 + random.nextDouble()), steps); // another one may have room
             return;
         }
-        Subscription subscription = new Subscription(connection, subscribe);
+        Subscription subscription = new Subscription(connection, subscribe, now);
         subscriptions.put(connection, subscription);
-        connections.put(subscription.name, connection);
+        connections.put(subscription.name(), connection);
         if (heartbeatAt == NEVER) {
             heartbeatAt = now + timing.heartbeat();
         }
-        subscription.heardAt = now;
-        subscription.confirmed = !newest().isAfter(subscription.sent);
+        if (!newest().isAfter(subscription.sent())) {
+            subscription.confirm();
+        }
         heartbeat(subscription, steps);
         serve(subscription, steps);
     }
 
     private void acknowledged(
             Subscription subscription, ControlMessage.Acknowledge acknowledge, List<PublisherStep> steps) {
-        long upTo = Math.min(acknowledge.received(), subscription.messages);
-        subscription.acknowledged = acknowledge.received();
-        subscription.heardAt = now;
-        while (!subscription.inFlight.isEmpty() && subscription.inFlight.peek().number() <= upTo) {
-            subscription.inFlightBytes -= subscription.inFlight.poll().bytes();
-            subscription.progressAt = now;
-        }
+        subscription.acknowledged(acknowledge.received(), now);
         serve(subscription, steps);
-        if (!subscription.confirmed && subscription.inFlight.isEmpty() && !newest().isAfter(subscription.sent)) {
-            subscription.confirmed = true; // so that it knows at once, and not at the next heartbeat
+        boolean current = subscription.hasAcknowledgedAll() && !newest().isAfter(subscription.sent());
+        if (current && !subscription.isConfirmed()) {
+            subscription.confirm(); // so that it knows at once, and not at the next heartbeat
             heartbeat(subscription, steps);
         }
     }
@@ -354,7 +318,7 @@
     private void forget(long connection) {
         Subscription subscription = subscriptions.remove(connection);
         if (subscription != null) {
-            connections.remove(subscription.name, connection);
+            connections.remove(subscription.name(), connection);
         }
     }
 
@@ -370,10 +334,10 @@
         if (now >= heartbeatAt) {
             heartbeatAt = subscriptions.isEmpty() ? NEVER : now + timing.heartbeat();
             for (Subscription subscription : List.copyOf(subscriptions.values())) {
-                if (!subscription.inFlight.isEmpty() && now > subscription.progressAt + timing.acknowledgePatience()) {
+                if (subscription.isStuck(timing.acknowledgePatience(), now)) {
                     counters.slow++;
-                    close(subscription.connection, steps);
-                } else if (subscription.inFlight.size() < limits.windowMessages()) {
+                    close(subscription.connection(), steps);
+                } else if (subscription.hasRoomForHeartbeat(limits)) {
                     heartbeat(subscription, steps);
                 }
             }
@@ -405,24 +369,24 @@
     }
 
     private void heartbeat(Subscription to, List<PublisherStep> steps) {
-        double since = now - to.heardAt;
-        send(to, new ControlMessage.Heartbeat(term, newest(), to.sent, age(now), to.acknowledged, since), steps);
+        double since = now - to.heardAt();
+        send(to, new ControlMessage.Heartbeat(term, newest(), to.sent(), age(now), to.acknowledged(), since), steps);
     }
 
     /** Sends what the subscriber lacks while its window has room. */
     private void serve(Subscription to, List<PublisherStep> steps) {
-        while (to.inFlightBytes < limits.windowBytes() && to.inFlight.size() < limits.windowMessages()) {
-            if (to.snapshot != null) {
+        while (to.hasRoom(limits)) {
+            if (to.snapshot() != null) {
                 sendPart(to, steps);
-            } else if (!newest().isAfter(to.sent)) {
+            } else if (!newest().isAfter(to.sent())) {
                 return; // it has all, or more than this process
-            } else if (log.covers(to.sent)) {
-                ControlMessage.Delta delta = delta(to.sent);
+            } else if (log.covers(to.sent())) {
+                ControlMessage.Delta delta = delta(to.sent());
                 counters.deltas++;
-                to.sent = delta.to();
+                to.bringTo(delta.to());
                 send(to, delta, steps);
             } else if (!beginSnapshot(to)) {
-                refuse(to.connection, promisedPlace(), steps);
+                refuse(to.connection(), promisedPlace(), steps);
                 return;
             }
         }
@@ -441,66 +405,38 @@
     }
 
     private boolean beginSnapshot(Subscription to) {
-        if (!to.republishes && snapshotsUnderWay() >= limits.snapshotsAtOnce()) {
+        if (!to.republishes() && snapshotsUnderWay() >= limits.snapshotsAtOnce()) {
             return false;
         }
-        if (image == null || !image.version().isAfter(to.sent)) {
-            image = encoded();
+        if (image == null || !image.version().isAfter(to.sent())) {
+            image = EncodedState.of(term, newest(), codec.encode(state), limits.partBytes());
+            counters.encoded++;
         }
         counters.snapshots++;
-        to.snapshot = image;
-        to.nextPart = 0;
-        to.snapshotAt = now;
+        to.beginSnapshot(image, now);
         return true;
     }
 
-    private Image encoded() {
-        counters.encoded++;
-        byte[] bytes = codec.encode(state);
-        int checksum = ControlMessageCodec.checksum(bytes, 0, bytes.length);
-        int count = Math.max(1, (bytes.length + limits.partBytes() - 1) / limits.partBytes());
-        List<ControlMessage.SnapshotPart> parts = new ArrayList<>();
-        for (int part = 0; part < count; part++) {
-            int from = part * limits.partBytes();
-            byte[] piece = Arrays.copyOfRange(bytes, from, Math.min(bytes.length, from + limits.partBytes()));
-            parts.add(new ControlMessage.SnapshotPart(term, newest(), part, count, checksum, piece));
-        }
-        return new Image(newest(), parts, bytes.length);
-    }
-
     private void sendPart(Subscription to, List<PublisherStep> steps) {
-        if (to.snapshot != image) {
-            to.snapshot = null; // replaced by a newer one, and with it the changes that follow it
+        if (to.snapshot() != image) {
+            to.abandonSnapshot(); // replaced by a newer one, and with it the changes that follow it
             return;
         }
-        ControlMessage.SnapshotPart part = image.parts().get(to.nextPart);
-        send(to, part.term() == term ? part : part.inTerm(term), steps);
-        to.nextPart++;
-        if (to.nextPart == image.parts().size()) {
-            to.sent = image.version();
-            to.snapshot = null;
-            snapshotEstimate += SMOOTHING * (now - to.snapshotAt - snapshotEstimate);
+        send(to, image.part(to.takePart(), term), steps);
+        if (to.snapshot() == null) {
+            snapshotEstimate += SMOOTHING * (now - to.snapshotAt() - snapshotEstimate);
         }
     }
 
     private void send(Subscription to, ControlMessage message, List<PublisherStep> steps) {
-        int bytes = ControlMessageCodec.size(message);
-        if (to.inFlight.isEmpty()) {
-            to.progressAt = now;
-        }
-        to.inFlight.add(new Sent(++to.messages, bytes));
-        to.inFlightBytes += bytes;
-        steps.add(new PublisherStep.Send(to.connection, message));
+        to.sending(ControlMessageCodec.size(message), now);
+        steps.add(new PublisherStep.Send(to.connection(), message));
     }
 
     private int snapshotsUnderWay() {
         int count = 0;
         for (Subscription subscription : subscriptions.values()) {
-            if (subscription.snapshot != null
-                    && !subscription.republishes
-                    && now < subscription.snapshotAt + limits.snapshotSeconds()) {
-                count++;
-            }
+            count += subscription.takesPlace(limits.snapshotSeconds(), now) ? 1 : 0;
         }
         return count;
     }
@@ -556,8 +492,8 @@
         long sum = 0;
         long most = 0;
         for (Subscription subscription : subscriptions.values()) {
-            sum += subscription.inFlightBytes;
-            most = Math.max(most, subscription.inFlightBytes);
+            sum += subscription.inFlightBytes();
+            most = Math.max(most, subscription.inFlightBytes());
         }
         return new Memory(
                 subscriptions.size(),
--- a/src/main/java/juniperusher/distribution/Subscriber.java
+++ b/src/main/java/juniperusher/distribution/Subscriber.java
@@ -134,6 +134,7 @@
         int kept = connected == null ? -1 : sources.indexOf(connected);
         source = Math.max(0, kept);
         if (kept >= 0) {
+            planReturn();
             return steps;
         }
         if (connected != null) {
@@ -167,7 +168,7 @@
         }
         phase = Phase.SUBSCRIBED;
         heardAt = time;
-        returnAt = source == 0 ? NEVER : time + timing.returnAfter() * (1 + random.nextDouble());
+        planReturn();
         received = 0;
         acknowledged.clear();
         acknowledged.add(new Acknowledged(0, time));
@@ -233,6 +234,10 @@
         nextAt = now + pause;
     }
 
+    private void planReturn() {
+        returnAt = source == 0 ? NEVER : now + timing.returnAfter() * (1 + random.nextDouble());
+    }
+
     private void forgetConnection() {
         assembly = null;
         moveAt = NEVER;
--- a/src/test/java/juniperusher/distribution/SubscriberTest.java
+++ b/src/test/java/juniperusher/distribution/SubscriberTest.java
@@ -293,6 +293,22 @@
         assertEquals(new Version(1, 1), subscriber.version());
     }
 
+    @Test
+    void theFirstOfNewSourcesIsTriedAfterAWhile() {
+        begin();
+        subscriber.start(List.of("c", "a"), now);
+        Version version = subscriber.version();
+        List<SubscriberStep<Ledger>> steps = List.of();
+        for (int i = 1; left(steps) == null && i < 3 * TIMING.returnAfter(); i++) {
+            hear(heartbeat(version, version, 0, i));
+            now += TIMING.heartbeat();
+            steps = subscriber.tick(now);
+        }
+        assertEquals(Reason.PREFERENCE, left(steps));
+        assertEquals("c", first(SubscriberStep.Connect.class, steps).source());
+        assertTrue(now > TIMING.returnAfter() && now < 2 * TIMING.returnAfter() + 20, "at " + now);
+    }
+
     /** It starts with what its folder had, aged, while no control process is to be reached. */
     @Test
     void aStateFromItsFolderIsInForceAndAged() {
