--- a/src/main/java/juniperusher/distribution/Subscriber.java
+++ b/src/main/java/juniperusher/distribution/Subscriber.java
@@ -49,6 +49,7 @@
     private long received; // messages on it
     private double heardAt;
     private double moveAt = NEVER; // when to look for a source that is not stale
+    private double returnAt = NEVER; // when to try the first source again
     private double nextAt = NEVER; // when to connect, or when the attempt is given up
     private int failures; // since something was last right
     private Assembly assembly; // the whole state that is coming in, or null
@@ -133,6 +134,7 @@
         int kept = connected == null ? -1 : sources.indexOf(connected);
         source = Math.max(0, kept);
         if (kept >= 0) {
+            planReturn();
             return steps;
         }
         if (connected != null) {
@@ -166,6 +168,7 @@
         }
         phase = Phase.SUBSCRIBED;
         heardAt = time;
+        planReturn();
         received = 0;
         acknowledged.clear();
         acknowledged.add(new Acknowledged(0, time));
@@ -195,6 +198,9 @@
             breakOff(Reason.SILENCE, steps);
         } else if (phase == Phase.SUBSCRIBED && now >= moveAt) {
             breakOff(Reason.STALE_SOURCE, steps);
+        } else if (phase == Phase.SUBSCRIBED && now >= returnAt) {
+            breakOff(Reason.PREFERENCE, 0, steps);
+            source = 0;
         }
         if (phase == Phase.PAUSING && now >= nextAt) {
             phase = Phase.CONNECTING;
@@ -207,7 +213,7 @@
 
     /** When {@link #tick} has something to do next. */
     public double due() {
-        return phase == Phase.SUBSCRIBED ? Math.min(heardAt + timing.silence(), moveAt) : nextAt;
+        return phase == Phase.SUBSCRIBED ? Math.min(heardAt + timing.silence(), Math.min(moveAt, returnAt)) : nextAt;
     }
 
     private void breakOff(Reason reason, List<SubscriberStep<S>> steps) {
@@ -228,9 +234,14 @@
         nextAt = now + pause;
     }
 
+    private void planReturn() {
+        returnAt = source == 0 ? NEVER : now + timing.returnAfter() * (1 + random.nextDouble());
+    }
+
     private void forgetConnection() {
         assembly = null;
         moveAt = NEVER;
+        returnAt = NEVER;
         acknowledged.clear();
     }
 
