--- a/src/main/java/juniperusher/fleet/ControlClient.java
+++ b/src/main/java/juniperusher/fleet/ControlClient.java
@@ -83,6 +83,11 @@
         link.reading(on);
     }
 
+    /** Reads nothing more from the present connection, as where a network is cut. */
+    public void freeze() {
+        link.freeze();
+    }
+
     private void step(Supplier<List<SubscriberStep<ShardMap>>> call) {
         link.carryOut(call.get());
         timer.at(subscriber.due());
--- a/src/main/java/juniperusher/fleet/ControlServer.java
+++ b/src/main/java/juniperusher/fleet/ControlServer.java
@@ -123,9 +123,9 @@
         return subscriptions.size();
     }
 
-    /** Reads from the process that it follows, or lets what comes wait, as a network that is cut does. */
-    public void readingUpstream(boolean on) {
-        upstream.reading(on);
+    /** Reads nothing more from the present connection towards the leader, as where a network is cut. */
+    public void freezeUpstream() {
+        upstream.freeze();
     }
 
     /** Stops listening, following and serving. */
--- a/src/main/java/juniperusher/fleet/UpstreamLink.java
+++ b/src/main/java/juniperusher/fleet/UpstreamLink.java
@@ -112,6 +112,13 @@
         }
     }
 
+    /** Nothing more is read from the present connection, as of a host that is cut off; later ones are not touched. */
+    void freeze() {
+        if (channel != null) {
+            channel.pauseReading();
+        }
+    }
+
     void close(String reason) {
         if (channel != null) {
             channel.close(reason);
--- a/src/main/java/juniperusher/lab/hollow/HollowControl.java
+++ b/src/main/java/juniperusher/lab/hollow/HollowControl.java
@@ -43,7 +43,9 @@
                         HollowHost.texts(Json.parse(line).asObject().get("unreachable"));
                 unreachable.clear();
                 unreachable.addAll(sources);
-                service.loop().execute(() -> service.server().readingUpstream(sources.isEmpty()));
+                if (!sources.isEmpty()) {
+                    service.loop().execute(() -> service.server().freezeUpstream());
+                }
                 out.println(new JsonObject().add("unreachable", sources.size()));
             }
         }
--- a/src/main/java/juniperusher/lab/hollow/HollowHost.java
+++ b/src/main/java/juniperusher/lab/hollow/HollowHost.java
@@ -135,10 +135,8 @@
     /** These sources cannot be reached from now on, all others can; {@code own} if it is this region that is cut. */
     private void cut(Set<String> sources, boolean own, long now) {
         for (HollowRelay relay : relays) {
-            if (sources.isEmpty()) {
-                relay.reading(true);
-            } else if (relay.source() != null && sources.contains(relay.source())) {
-                relay.reading(false);
+            if (relay.source() != null && sources.contains(relay.source())) {
+                relay.freeze();
             }
             if (own) {
                 relay.reachable(now);
--- a/src/main/java/juniperusher/lab/hollow/HollowRelay.java
+++ b/src/main/java/juniperusher/lab/hollow/HollowRelay.java
@@ -92,7 +92,14 @@
         }
     }
 
-    /** What comes waits in the kernel, as with a slow reader or a cut network, or is read again. */
+    /** Nothing more comes on its present connection. */
+    void freeze() {
+        if (client != null) {
+            client.freeze();
+        }
+    }
+
+    /** What comes waits in the kernel, as with a slow reader, or is read again. */
     void reading(boolean on) {
         if (client != null) {
             client.reading(on);
