--- a/src/test/java/juniperusher/cli/AlertsTest.java
+++ b/src/test/java/juniperusher/cli/AlertsTest.java
@@ -33,7 +33,8 @@
                 sources.append(Files.readString(file));
             }
         }
-        Set<String> counted = found(Pattern.compile("counters\\s*\\.(?:add|gauge)\\(\\s*\"(\\w+)\""), sources.toString());
+        Set<String> counted =
+                found(Pattern.compile("counters\\s*\\.(?:add|gauge)\\(\\s*\"(\\w+)\""), sources.toString());
         assertTrue(counted.size() >= 8, "metrics: " + counted);
         Pattern named = Pattern.compile("juniperusher_(\\w+)");
         for (String file : new String[] {"deploy/alerts.yml", "README.md"}) {
