Log each message's state transitions by its id, off by default

Change: MessageLog, one line for each transition to the logger juniperusher.messages at level DEBUG; calls have a number, so that messages which share one can be told.

--- a/src/main/java/juniperusher/core/Relay.java
+++ b/src/main/java/juniperusher/core/Relay.java
@@ -247,6 +247,7 @@
         MessageClass kind = place < 0 ? null : settings.classes().get(place);
         RpcRequest request = place < 0 ? left.request() : left.request().of(place);
         Rpc rpc = new Rpc(left, request, kind, this);
+        MessageLog.recovered(left, rpc.timeLeft());
         if (left.end() != null) {
             answerPending(rpc);
             tell(rpc, left.end(), true);
@@ -337,6 +338,7 @@
         Rpc rpc = new Rpc(number, request, kind, this);
         held.put(number, rpc);
         heldIds.put(request.key(), rpc);
+        MessageLog.taken(number, request, rpc.timeLeft());
         channel.takenOn();
         order.taken(number, rpc.orderKey());
         rpc.live();
@@ -344,6 +346,7 @@
 
     private void refuse(RpcRequest request, Channel channel, String why) {
         counters.add("refused_total", "front", request.front(), "why", why);
+        MessageLog.refused(request, why);
         if (companion != null) {
             companion.turnedAway(request);
         }
@@ -414,6 +417,7 @@
             journal.outcome(rpc.number(), result.end().outcome().neverRan());
         }
         counters.add("attempts_total", "end", result.end().name().toLowerCase(Locale.ROOT));
+        MessageLog.attemptEnded(rpc, attempt, call, result);
         loop.post(new Ended(
                 rpc.number(),
                 attempt,
@@ -531,6 +535,7 @@
                 "" + request.messageClass(),
                 "end",
                 end.kind().name().toLowerCase(Locale.ROOT));
+        MessageLog.ended(rpc, end);
         order.over(rpc.number());
         tell(rpc, end, false);
     }
@@ -549,7 +554,10 @@
         } else if (front.overOnceAcknowledged()) {
             front.report(end, again, () -> acknowledged(rpc));
         } else {
-            front.report(end, again, () -> journal.acknowledged(rpc.number()));
+            front.report(end, again, () -> {
+                MessageLog.reported(rpc.request());
+                journal.acknowledged(rpc.number());
+            });
             overInItsOrder(rpc);
         }
     }
--- a/src/main/java/juniperusher/core/Rpc.java
+++ b/src/main/java/juniperusher/core/Rpc.java
@@ -62,6 +62,7 @@
                         last = call;
                         Journal.Attempt sent =
                                 relay.journal().attempt(number, call.target().zone());
+                        MessageLog.attempt(this, attempt, call);
                         return call.join(this).thenAccept(result -> {
                             out = null;
                             ran = ran == null && !result.end().outcome().neverRan() ? sent : ran;
--- a/src/main/java/juniperusher/core/SharedCall.java
+++ b/src/main/java/juniperusher/core/SharedCall.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 import juniperusher.Protocol.Target;
 import org.slf4j.Logger;
@@ -20,6 +21,8 @@
     // s before its deadline an RPC ceases to wait for the others
     private static final double ENDS_EARLY = 0.02;
 
+    private static final AtomicLong LAST_NUMBER = new AtomicLong();
+
     private final Target target;
     private final Subchannels subchannels;
     private final Subchannels.Clearance clearance;
@@ -30,6 +33,7 @@
     private Subchannels.Call call;
     private boolean abandoned;
     private final long madeAt = System.nanoTime();
+    private final long number = LAST_NUMBER.incrementAndGet(); // tells calls apart in the log
 
     private static final class Member {
         final Rpc rpc;
@@ -57,6 +61,11 @@
         this.heard = heard;
     }
 
+    /** Number of the call within this process, by which the log names it. */
+    long number() {
+        return number;
+    }
+
     Target target() {
         return target;
     }
