--- /dev/null
+++ b/src/test/java/juniperusher/faults/EndpointStandIn.java
@@ -0,0 +1,106 @@
+package juniperusher.faults;
+
+import com.eclipsesource.json.Json;
+import com.eclipsesource.json.JsonArray;
+import com.eclipsesource.json.JsonObject;
+import com.eclipsesource.json.JsonValue;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Function;
+
+/** An endpoint of a destination; {@code behaviour} says how it treats each call. */
+final class EndpointStandIn extends HttpStandIn {
+    private static final long FOREVER = 120_000; // ms
+
+    private final MessageLedger ledger;
+    private volatile Function<List<String>, Treatment> behaviour;
+
+    /** What an endpoint does with a call. */
+    enum Kind {
+        DELIVER,
+        FAIL,
+        TURN_AWAY,
+        HANG,
+        CUT_ANSWER,
+        RESET
+    }
+
+    /** What it does, and after how many milliseconds. */
+    record Treatment(Kind kind, long afterMillis) {}
+
+    EndpointStandIn(MessageLedger ledger, Function<List<String>, Treatment> behaviour) throws IOException {
+        this.ledger = ledger;
+        this.behaviour = behaviour;
+    }
+
+    void behave(Function<List<String>, Treatment> next) {
+        behaviour = next;
+    }
+
+    @Override
+    boolean handle(Request request, Connection connection) throws IOException {
+        if (request.method().equals("GET")) {
+            connection.answer("200 OK", "", "");
+            return true;
+        }
+        boolean shared = request.path().equals("/receive-many");
+        List<String> ids = ids(request, shared);
+        Object call = new Object();
+        ids.forEach(id -> ledger.begun(id, call));
+        Treatment treatment = behaviour.apply(ids);
+        boolean ended = connection.endsWithin(treatment.kind() == Kind.HANG ? FOREVER : treatment.afterMillis());
+        if (ended || treatment.kind() == Kind.HANG) {
+            ids.forEach(id -> ledger.callEnded(id, call, true, "given up"));
+            return false;
+        }
+        return answer(treatment.kind(), ids, shared, call, connection);
+    }
+
+    private boolean answer(Kind kind, List<String> ids, boolean shared, Object call, Connection connection)
+            throws IOException {
+        switch (kind) {
+            case FAIL -> {
+                ids.forEach(id -> ledger.callEnded(id, call, true, "failed"));
+                connection.answer("500 Failed", "", "");
+            }
+            case TURN_AWAY -> {
+                ids.forEach(id -> ledger.callEnded(id, call, false, "turned away"));
+                connection.answer("429 Later", "Retry-After: 0.2\r\n", "");
+            }
+            case CUT_ANSWER -> {
+                ids.forEach(id -> ledger.callEnded(id, call, true, "answered in part"));
+                String whole = Connection.response("500 Failed", "", "a body that ends early");
+                connection.write(whole.substring(0, whole.length() / 2));
+                return false;
+            }
+            case RESET -> {
+                ids.forEach(id -> ledger.callEnded(id, call, true, "reset"));
+                connection.reset();
+                return false;
+            }
+            default -> {
+                ids.forEach(id -> ledger.delivered(id, call));
+                connection.answer("200 OK", "", shared ? states(ids) : "");
+            }
+        }
+        return true;
+    }
+
+    private static List<String> ids(Request request, boolean shared) {
+        if (!shared) {
+            return List.of(request.headers().get("x-call-id"));
+        }
+        List<String> ids = new ArrayList<>();
+        for (JsonValue value : Json.parse(request.text()).asArray()) {
+            ids.add(value.asObject().getString("id", ""));
+        }
+        return ids;
+    }
+
+    private static String states(List<String> ids) {
+        JsonArray states = new JsonArray();
+        ids.forEach(id -> states.add(new JsonObject().add("id", id).add("state", "delivered")));
+        return states.toString();
+    }
+}
--- /dev/null
+++ b/src/test/java/juniperusher/faults/FaultShim.java
@@ -0,0 +1,99 @@
+package juniperusher.faults;
+
+import java.io.IOException;
+import java.nio.ByteOrder;
+import java.nio.MappedByteBuffer;
+import java.nio.channels.FileChannel;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
+import java.util.Map;
+
+/** The library {@code faultshim.c} in one process: which of its system calls fail, set from outside while it runs. */
+final class FaultShim {
+    private static final Path SOURCE = Path.of("src/test/c/faultshim.c");
+    private static final Path LIBRARY = Path.of("target/faultshim.so").toAbsolutePath();
+    private static final int BYTES = 4096;
+
+    private final Path folder;
+    private final Path file;
+    private final MappedByteBuffer words;
+
+    /** Words of the control file, in the order of the library's enum. */
+    enum Word {
+        FOLDER_WRITE_ERRNO,
+        FOLDER_WRITE_HALF,
+        FOLDER_OPEN_ERRNO,
+        WALL_CLOCK_SECONDS,
+        ACCEPT_ERRNO,
+        CONNECT_ERRNO,
+        SOCKET_PIECES,
+        EPOLL_ERRNO,
+        SOCKET_ERRNO,
+        ACCEPT_CALLS,
+        FOLDER_FAILURES,
+        SENDTO_ERRNO,
+        RECV_ERRNO
+    }
+
+    /** Error numbers of Linux. */
+    static final int EIO = 5;
+
+    static final int ENFILE = 23;
+    static final int EMFILE = 24;
+    static final int ENOSPC = 28;
+    static final int EADDRNOTAVAIL = 99;
+    static final int ECONNABORTED = 103;
+    static final int ENOBUFS = 105;
+
+    /** Faults of a process whose folder that lasts is {@code folder}; the control file lies at {@code file}. */
+    FaultShim(Path folder, Path file) throws IOException, InterruptedException {
+        this.folder = folder;
+        this.file = file;
+        compile();
+        Files.write(file, new byte[BYTES]);
+        try (FileChannel channel = FileChannel.open(file, StandardOpenOption.READ, StandardOpenOption.WRITE)) {
+            words = channel.map(FileChannel.MapMode.READ_WRITE, 0, BYTES);
+        }
+        words.order(ByteOrder.nativeOrder());
+    }
+
+    private static synchronized void compile() throws IOException, InterruptedException {
+        if (Files.exists(LIBRARY)
+                && Files.getLastModifiedTime(LIBRARY).compareTo(Files.getLastModifiedTime(SOURCE)) > 0) {
+            return;
+        }
+        Files.createDirectories(LIBRARY.getParent());
+        Process compiler = new ProcessBuilder(
+                        "gcc", "-shared", "-fPIC", "-O2", "-o", LIBRARY.toString(), SOURCE.toString(), "-ldl")
+                .inheritIO()
+                .start();
+        if (compiler.waitFor() != 0) {
+            throw new IOException("the library of faults cannot be compiled");
+        }
+    }
+
+    Map<String, String> environment() {
+        return Map.of(
+                "LD_PRELOAD", LIBRARY.toString(),
+                "FAULT_CONTROL", file.toString(),
+                "FAULT_FOLDER", folder.toString());
+    }
+
+    void set(Word word, int value) {
+        words.putInt(word.ordinal() * Integer.BYTES, value);
+    }
+
+    int get(Word word) {
+        return words.getInt(word.ordinal() * Integer.BYTES);
+    }
+
+    /** Nothing fails any more; the wall clock stays as it is. */
+    void heal() {
+        for (Word word : Word.values()) {
+            if (word != Word.WALL_CLOCK_SECONDS && word != Word.ACCEPT_CALLS && word != Word.FOLDER_FAILURES) {
+                set(word, 0);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/juniperusher/faults/RelayUnderTest.java
@@ -0,0 +1,142 @@
+package juniperusher.faults;
+
+import com.eclipsesource.json.Json;
+import com.eclipsesource.json.JsonArray;
+import com.eclipsesource.json.JsonObject;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+/** A relay process in its {@code serve} command, with the deployment's options and the library of faults. */
+final class RelayUnderTest implements AutoCloseable {
+    private static final List<String> OPTIONS = List.of(
+            "-Djava.net.preferIPv4Stack=true",
+            "-XX:+UseSerialGC",
+            "-XX:TieredStopAtLevel=1",
+            "-XX:-UsePerfData",
+            "-Xms16m",
+            "-Xmx64m",
+            "-Xss256k",
+            "-XX:MaxMetaspaceSize=48m");
+    private static final long READY = 30_000; // ms for a start
+    /** Classes of the settings in {@code selftest.json}, the second of which may not be repeated. */
+    static final List<String> CLASSES = List.of("aviso-push", "ordem-build");
+
+    private final Path folder;
+    private final Path log;
+    private final JsonObject config;
+    private final FaultShim faults;
+    private final int port;
+    private Process process;
+
+    RelayUnderTest(Path folder, PlatformStandIn platform, JsonArray servers) throws IOException, InterruptedException {
+        this.folder = folder;
+        log = folder.resolve("log");
+        Path state = Files.createDirectories(folder.resolve("state"));
+        faults = new FaultShim(state, folder.resolve("faults"));
+        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+            port = free.getLocalPort();
+        }
+        config = Json.parse(Files.readString(Path.of("src/main/resources/selftest.json")))
+                .asObject();
+        config.set("listen", "127.0.0.1:" + port).set("discovery", "127.0.0.1:" + platform.port());
+        config.get("known").asObject().set("servers", servers);
+        writeConfig();
+    }
+
+    void writeConfig() throws IOException {
+        Files.writeString(folder.resolve("relay.json"), config.toString());
+    }
+
+    FaultShim faults() {
+        return faults;
+    }
+
+    InetSocketAddress address() {
+        return new InetSocketAddress("127.0.0.1", port);
+    }
+
+    /** Starts a process and waits until it answers that it is up. */
+    void start() throws IOException, InterruptedException {
+        List<String> command = new ArrayList<>();
+        command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
+        command.addAll(OPTIONS);
+        command.add("-Dorg.slf4j.simpleLogger.log.juniperusher.messages=debug");
+        command.add("-cp");
+        command.add(System.getProperty("surefire.test.class.path", System.getProperty("java.class.path")));
+        command.add("juniperusher.cli.Main");
+        command.add("serve");
+        ProcessBuilder builder = new ProcessBuilder(command);
+        builder.environment().put("RELAY_CONFIG", folder.resolve("relay.json").toString());
+        builder.environment().put("RELAY_STATE", folder.resolve("state").toString());
+        builder.environment().putAll(faults.environment());
+        builder.redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()));
+        process = builder.start();
+        awaitReady();
+    }
+
+    private void awaitReady() throws IOException, InterruptedException {
+        long until = System.nanoTime() + READY * 1_000_000;
+        while (System.nanoTime() < until) {
+            if (!process.isAlive()) {
+                throw new IOException("the relay has ended with " + process.exitValue() + ": " + lastLines(5));
+            }
+            try (Socket socket = new Socket()) {
+                socket.connect(address(), 200);
+                socket.setSoTimeout(1_000);
+                socket.getOutputStream()
+                        .write("GET /up HTTP/1.1\r\nHost: relay\r\nConnection: close\r\n\r\n"
+                                .getBytes(StandardCharsets.US_ASCII));
+                if (new String(socket.getInputStream().readNBytes(12), StandardCharsets.US_ASCII).endsWith(" 200")) {
+                    return;
+                }
+            } catch (IOException e) {
+                Thread.sleep(20); // not yet
+            }
+        }
+        throw new IOException("the relay is not ready: " + lastLines(5));
+    }
+
+    /** The end of its log. */
+    List<String> lastLines(int most) throws IOException {
+        List<String> lines = Files.readAllLines(log);
+        return lines.subList(Math.max(0, lines.size() - most), lines.size());
+    }
+
+    /** Bytes of its log so far. */
+    long logBytes() throws IOException {
+        return Files.size(log);
+    }
+
+    boolean alive() {
+        return process.isAlive();
+    }
+
+    /** Sends a signal by its name, such as {@code HUP}. */
+    void signal(String name) throws IOException, InterruptedException {
+        new ProcessBuilder("kill", "-" + name, Long.toString(process.pid()))
+                .start()
+                .waitFor();
+    }
+
+    /** SIGKILL, and the wait for its end. */
+    void kill() throws InterruptedException {
+        process.destroyForcibly();
+        process.waitFor(10, TimeUnit.SECONDS);
+    }
+
+    @Override
+    public void close() throws InterruptedException {
+        if (process != null) {
+            kill();
+        }
+    }
+}
