A shared call ends before the earliest deadline of those that share it

Ruled out: status reports (each has its 204), restarts (one process served it all), answers cut short (200 read whole), a second handing-in. Cause: SharedCall.timedOut ended a member by itself and left the call, with that message in it, out for the others (SharedCall.java, timedOut; the time-out that the call states was the longest of its members'). Class: one message's final answer is told while a shared attempt of it is still out. Change: one timer for a call, at the earliest deadline of its members, which is also the budget it states; whatever fails in the relay ends its call first; an answer that comes in the moment of giving up no longer puts a closed connection back into the pool. The module lets a message share a call only where twice the usual time to answer is left for each, so that few calls end early.

--- a/src/main/java/juniperusher/Control.java
+++ b/src/main/java/juniperusher/Control.java
@@ -20,13 +20,11 @@
     private static final double FIRST_GUESS = 0.2; // s, usual time of a target not yet heard of
     private static final double LEAST_SILENCE = 1.0; // s, no silence sooner, so that short stalls pass
     private static final double SILENCE_DEVIATIONS = 6.0; // over the usual time: an overdue call
-    private static final double FAILURE_WEIGHT = 0.2; // of the newest outcome: about five decide
     private static final double TRIP_SHARE = 0.5; // of outcomes that fail: most calls fail
     private static final double FLAKY = 4.0; // calls that a share of failures of 1 counts for in choosing
     private static final double FLAKY_BOUND = 30.0; // the same for messages that a failure binds or ends
     private static final double UNSAFE_SHARE = 0.15; // of failures: unsafe ones wait, theirs would be final
     private static final double UNSAFE_HURRY = 3.0; // s before its deadline an unsafe one waits no more
-    private static final double FAILURE_FADES = 4.0; // s, failures are forgotten when no outcome comes
     private static final double SHUT_AFTER = 3.0; // s of refusals only, or of a told wait: not a limit, shut
     private static final double FIRST_COOLDOWN = 0.7; // s before the first trial; it doubles, jittered, to
     private static final double COOLDOWN_CAP = 1.6; // s, as a trial is cheap, a return unnoticed is not
@@ -38,15 +36,9 @@
     private static final double RAMP_CUT = 0.7; // factor on slow start at a refusal or failure meanwhile
     private static final double RAMP_CLIMB = 1.05; // factor at each success, to win the cut back
     private static final double LEAST_RAMP = 0.4; // slow start is never cut below this share
-    private static final double PACE_CUT = 0.8; // factor on the pace at a refusal as full
     private static final double LEAST_PACE = 1.0; // calls/s, the pace is never cut below
-    private static final double PACE_CLIMB = 0.05; // calls/s gained by each success, and
-    private static final double SPELL = 4.0; // s without refusals make a spell; then the gain is
-    private static final double SPELL_CLIMB = 4.0; // times as much, to exceed the pace again
     private static final double REPORT_AGE = 0.8; // s, a report may be as old as refresh and delay together
     private static final double LEAST_LEFT = 0.25; // share of a limit that is left where others use little
-    private static final double BURST = 0.3; // s of a rate that may go at once
-    private static final double RATE_SPAN = 10.0; // s over which success rates are taken
     private static final double BULKHEAD = 0.6; // share of the slots that one destination may hold
     private static final double SLOW_BULKHEAD = 0.25; // the same with an overdue call out
     private static final double TRIAL_BULKHEAD = 0.12; // the same for all trials together
@@ -54,6 +46,7 @@
     private static final double ROOM = 0.95; // share of the held room kept, so that sound ones find some
     private static final double QUOTA_BURST = 2.0; // s of its quota a tenant may send at once within share
     private static final double ANSWER_MARGIN = 0.01; // s, answers come so long before the deadline
+    private static final double SHARED_ROOM = 2; // usual times to answer that a message has left where it shares a call
     private static final double IDLE_MEMORY = 30.0; // s after a failure in which idle connections are closed
     private static final int FLEET = 50; // senders: too many for each to learn it from a refusal of its own
     private static final double GONE_MEMORY = 5.0; // s, a target that is gone so long is forgotten
@@ -70,7 +63,7 @@
     private final Map<Long, KeyQueue> keys = new LinkedHashMap<>();
     private final Map<Integer, Double> tablesFull = new LinkedHashMap<>(); // by kind: no place was left
     private final Set<Integer> reporting = new TreeSet<>(); // kinds whose answers bring reports
-    private final List<Bucket> quotas = new ArrayList<>();
+    private final List<TokenBucket> quotas = new ArrayList<>();
     private final Map<TargetState, Call> forming = new LinkedHashMap<>();
     private final List<Gate> trials = new ArrayList<>();
     private final Set<TargetState> quiet = new LinkedHashSet<>(); // where a call or probe ended this round
@@ -91,7 +84,7 @@
         tight = bears < 1;
         crowd = Math.max(1, Math.min(MOST_CROWD, settings.senders() / (CROWD * Math.pow(bears, 3))));
         for (Tenant tenant : settings.tenants()) {
-            Bucket quota = new Bucket();
+            TokenBucket quota = new TokenBucket();
             quota.burst = QUOTA_BURST;
             quota.start(0, tenant.quota() / settings.senders());
             quotas.add(quota);
@@ -248,6 +241,9 @@
             Call call = forming.get(target);
             // A trial call is filled, but at one that hangs its time-out would bind what joins it.
             boolean joins = call != null && (!call.trial || item.safe || !target.gate.hung && !item.unsafe);
+            if (call != null && call.size < target.kind.batch() && !call.outlasts(item, now)) {
+                continue; // in the next round, by a call of its own
+            }
             if (joins && call.size < target.kind.batch()) {
                 return target;
             }
@@ -322,6 +318,7 @@
         }
         call.size++;
         call.open++;
+        call.earliest = Math.min(call.earliest, item.deadline);
         item.call = call;
         item.attempts++;
         boolean wait = item.unsafe && callsOut < settings.allowed().calls() * SCARCE;
@@ -639,7 +636,7 @@
 
     /** Messages a second that this sender has taken for the destination. */
     private double demand(Destination destination) {
-        return destination.taken / (now - born + RATE_SPAN);
+        return destination.taken / (now - born + EventRate.SPAN);
     }
 
     /** This gate's part of them. */
@@ -901,6 +898,7 @@
         final double at, idle; // when it was sent; s the connection was unused before
         int size, open;
         boolean judged;
+        double earliest = NEVER; // deadline of those that share it, at which it ends for all of them
 
         Call(TargetState target, double at, boolean trial, double idle) {
             this.idle = idle;
@@ -908,13 +906,18 @@
             this.at = at;
             this.trial = trial;
         }
+
+        /** Whether it will be answered before the deadlines of the item and of those that share it already. */
+        boolean outlasts(Item item, double now) {
+            return Math.min(earliest, item.deadline) - now >= SHARED_ROOM * target.usual();
+        }
     }
 
     /** A destination: its targets, behind one gate or, where routes are apart, one gate each. */
     private static final class Destination {
         final List<TargetState> targets = new ArrayList<>();
         final Gate shared; // where routes are not apart; outlives its targets, as waits and paces do
-        final Bucket storm = new Bucket(); // what this sender may call there in a storm
+        final TokenBucket storm = new TokenBucket(); // what this sender may call there in a storm
         int held, taken, hold = Integer.MAX_VALUE;
         double roomAt; // when there will be room in a storm for the next one refused
         long shut; // the pass over the items in which none of its own can be sent any more
@@ -944,7 +947,7 @@
     /** A target: phase, calls out, usual response time, cap on connections. */
     private static final class TargetState {
         final Kind kind;
-        final Failures failures = new Failures();
+        final FailureShare failures = new FailureShare();
         double cap = NEVER, lastOk = -NEVER, lastOkSent = -NEVER, lastUse = -NEVER, backAt = -NEVER;
         Gate gate;
         Target info;
@@ -981,10 +984,10 @@
         final Destination destination;
         final List<TargetState> targets = new ArrayList<>();
         final List<Call> calls = new ArrayList<>();
-        final Pace pace = new Pace();
-        final Bucket ramp = new Bucket();
-        final Rate successes = new Rate();
-        final Failures failures = new Failures();
+        final AdaptiveRateLimiter pace = new AdaptiveRateLimiter();
+        final TokenBucket ramp = new TokenBucket();
+        final EventRate successes = new EventRate();
+        final FailureShare failures = new FailureShare();
         double badSince = NEVER, rampFrom = NEVER, rampCut = 1, lastOk = -NEVER;
         double toldUntil, known, best, listed, rampCutAt, openUntil;
         boolean reported, open, hung, trialOut;
@@ -1005,94 +1008,4 @@
             return longest;
         }
     }
-
-    /** Share of late outcomes that were failures; it fades when there are none. */
-    private static final class Failures {
-        double share, at;
-
-        double share(double now) {
-            return share * Math.exp((at - now) / FAILURE_FADES);
-        }
-
-        void note(double now, double failed) {
-            share = share(now) * (1 - FAILURE_WEIGHT) + failed * FAILURE_WEIGHT;
-            at = now;
-        }
-    }
-
-    /** Token bucket. */
-    private static class Bucket {
-        double burst = BURST, rate = NEVER;
-        double tokens, at;
-
-        void start(double now, double newRate) {
-            rate = newRate;
-            tokens = 0;
-            at = now;
-        }
-
-        void refill(double now) {
-            if (rate < NEVER) {
-                tokens = Math.min(Math.max(1, rate * burst), tokens + rate * (now - at));
-            }
-            at = now;
-        }
-
-        double readyAt(double now) {
-            refill(now);
-            return rate == NEVER || tokens >= 1 - 1e-9 ? now : now + (1 - tokens) / rate;
-        }
-
-        void take(double now) {
-            refill(now);
-            tokens -= rate == NEVER ? 0 : 1;
-        }
-
-        boolean tryTake(double now) {
-            boolean ready = readyAt(now) <= now;
-            tokens -= ready && rate < NEVER ? 1 : 0;
-            return ready;
-        }
-    }
-
-    /** Pace of calls: none until refused, then cut at each refusal and climbing with successes. */
-    private static final class Pace extends Bucket {
-        double cutAt = -NEVER;
-
-        void cut(double now, double successes, double least) {
-            refill(now);
-            rate = Math.max(least, PACE_CUT * Math.min(rate, Math.max(successes, least)));
-            cutAt = now;
-        }
-
-        void raise(double now, double share) {
-            if (rate < share) {
-                refill(now);
-                rate = share;
-            }
-        }
-
-        void succeeded(double now) {
-            if (rate < NEVER) {
-                refill(now);
-                rate += PACE_CLIMB * (now - cutAt > SPELL ? SPELL_CLIMB : 1);
-            }
-        }
-    }
-
-    /** Events a second, over the last seconds. */
-    private static final class Rate {
-        double from = NEVER, value, at;
-
-        void add(double now) {
-            from = Math.min(from, now);
-            value = value * Math.exp((at - now) / RATE_SPAN) + 1 / RATE_SPAN;
-            at = now;
-        }
-
-        double get(double now) {
-            double seen = 1 - Math.exp((Math.min(from, now) - now - 1) / RATE_SPAN);
-            return value * Math.exp((at - now) / RATE_SPAN) / seen;
-        }
-    }
 }
--- a/src/main/java/juniperusher/core/Rpc.java
+++ b/src/main/java/juniperusher/core/Rpc.java
@@ -96,7 +96,7 @@
         LOG.error("RPC {} failed", number, why);
         SharedCall shared = out;
         if (shared != null) {
-            shared.leave(this);
+            shared.fail(this);
         }
         if (!over) {
             over = true;
--- a/src/main/java/juniperusher/core/SharedCall.java
+++ b/src/main/java/juniperusher/core/SharedCall.java
@@ -18,7 +18,7 @@
  */
 final class SharedCall {
     private static final Logger LOG = LoggerFactory.getLogger(SharedCall.class);
-    // s before its deadline an RPC ceases to wait for the others
+    // s before the earliest deadline at which a call of several ends, so that each has its end in time
     private static final double ENDS_EARLY = 0.02;
 
     private static final AtomicLong LAST_NUMBER = new AtomicLong();
@@ -112,6 +112,23 @@
         }
     }
 
+    /**
+     * An RPC of the call failed within this relay, before or after it joined. The call ends, if it is out, before the
+     * RPC's end is told.
+     */
+    void fail(Rpc rpc) {
+        leave(rpc);
+        Subchannels.Call started;
+        synchronized (this) {
+            boolean joined = members.stream().anyMatch(member -> member.rpc == rpc);
+            abandoned |= joined;
+            started = joined ? call : null;
+        }
+        if (started != null) {
+            started.abandon(CallEnd.CALLED_OFF);
+        }
+    }
+
     /**
      * Runs the action once the RPC is in no call that is out: at once where it has left, else at the end of
      * the call, which may come after the RPC's own time-out.
@@ -126,12 +143,13 @@
     }
 
     private void start() {
+        double patience = patience();
         Subchannels.Call started;
         try {
             started = subchannels.call(
                     target,
                     members.stream().map(member -> member.rpc.request()).toList(),
-                    timeout,
+                    patience,
                     this::clear,
                     (place, result) -> {
                         heard.accept(result);
@@ -153,29 +171,23 @@
         if (off) {
             started.abandon(CallEnd.CALLED_OFF);
         }
-        for (Member member : members) {
-            double left = Math.min(timeout - elapsed(), member.rpc.timeLeft() - (members.size() > 1 ? ENDS_EARLY : 0));
-            ScheduledFuture<?> timer =
-                    timers.schedule(() -> timedOut(member), (long) (Math.max(0, left) * 1e9), TimeUnit.NANOSECONDS);
-            member.result.whenComplete((result, failure) -> timer.cancel(false));
-        }
+        ScheduledFuture<?> timer = timers.schedule(
+                () -> started.abandon(CallEnd.TIMED_OUT), (long) (patience * 1e9), TimeUnit.NANOSECONDS);
+        members.forEach(member -> member.callEnded.whenComplete((result, failure) -> timer.cancel(false)));
     }
 
     /**
-     * Guards against a second copy: an RPC whose own time-out is over stays while the call is out for the
-     * others, up to its deadline, since nobody sends it again after that.
+     * Seconds for which the call may be out: the longest that the module wants for one of its messages, but no longer
+     * than the earliest of their deadlines. No message's end is told while a call with it is out: its endpoint would
+     * deliver what is over, and an answer behind that deadline counts for none of those that share the call.
      */
-    private void timedOut(Member self) {
-        boolean alone;
-        synchronized (this) {
-            alone = elapsed() >= timeout
-                    || members.stream().allMatch(member -> member == self || member.result.isDone());
-        }
-        if (alone) {
-            call.abandon(CallEnd.TIMED_OUT);
-        } else {
-            self.result.complete(CallResult.of(CallEnd.TIMED_OUT));
-        }
+    private double patience() {
+        double longest = timeout - elapsed();
+        double earliest = members.stream()
+                .mapToDouble(member -> member.rpc.timeLeft())
+                .min()
+                .orElse(0);
+        return Math.max(0, Math.min(longest, earliest - (members.size() > 1 ? ENDS_EARLY : 0)));
     }
 
     private boolean clear() {
--- a/src/main/java/juniperusher/net/HttpPool.java
+++ b/src/main/java/juniperusher/net/HttpPool.java
@@ -246,15 +246,15 @@
         }
 
         void answered(HttpMessage response, HttpClientConnection reusable) {
-            if (reusable != null) {
-                keep(peer, reusable);
-            }
             synchronized (this) {
                 if (over) {
-                    return;
+                    return; // given up in this very moment, and its connection closed with it
                 }
                 over = true;
             }
+            if (reusable != null) {
+                keep(peer, reusable);
+            }
             listener.answered(response);
         }
 
--- a/src/test/java/juniperusher/faults/SharedCallDeadlineTest.java
+++ b/src/test/java/juniperusher/faults/SharedCallDeadlineTest.java
@@ -14,8 +14,8 @@
 import org.testng.annotations.Test;
 
 /**
- * Incident 1: a call that several messages share went on after one of them had come to its deadline and its end was told
- * to the platform. The others then counted as delivered by an answer to a call that was over for its endpoint.
+ * Incident 1: a call that several messages share went on after one of them had come to its deadline and its end
+ * was told to the platform. The others then counted as delivered by an answer to a call that was over.
  */
 public class SharedCallDeadlineTest {
     private static final String SHARED_KIND = "grande-parceiro"; // its endpoints take ten messages a call
