--- a/src/main/java/juniperusher/amqp/AmqpFront.java
+++ b/src/main/java/juniperusher/amqp/AmqpFront.java
@@ -10,6 +10,7 @@
 import java.util.UUID;
 import java.util.concurrent.ConcurrentHashMap;
 import juniperusher.Protocol.MessageClass;
+import juniperusher.clock.SteadyClock;
 import juniperusher.core.Channel;
 import juniperusher.core.Front;
 import juniperusher.core.Relay;
@@ -77,7 +78,7 @@
                         queue,
                         reply(end, address.getString("correlation", "")),
                         again,
-                        System.currentTimeMillis(),
+                        SteadyClock.millis(),
                         acknowledged));
     }
 
@@ -142,7 +143,7 @@
                         name(),
                         place,
                         config.destination(routingKey),
-                        System.currentTimeMillis() + left,
+                        SteadyClock.millis() + left,
                         returnAddress(content, id),
                         named,
                         content.body()),
--- a/src/main/java/juniperusher/amqp/AmqpSubchannels.java
+++ b/src/main/java/juniperusher/amqp/AmqpSubchannels.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import juniperusher.Protocol.Phase;
 import juniperusher.Protocol.Target;
+import juniperusher.clock.SteadyClock;
 import juniperusher.core.CallEnd;
 import juniperusher.core.CallResult;
 import juniperusher.core.RpcRequest;
@@ -100,7 +101,7 @@
         }
 
         Content content() {
-            long left = Math.max(1, rpc.deadline() - System.currentTimeMillis());
+            long left = Math.max(1, rpc.deadline() - SteadyClock.millis());
             return new Content("", "", "", Long.toString(left), rpc.id(), "", rpc.body());
         }
 
--- a/src/main/java/juniperusher/amqp/ReplyQueue.java
+++ b/src/main/java/juniperusher/amqp/ReplyQueue.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
+import juniperusher.clock.SteadyClock;
 
 /** Ends that wait for the client that asked for them, under the name of its reply-to. */
 final class ReplyQueue {
@@ -37,7 +38,7 @@
         synchronized (this) {
             waiting.add(delivery);
             // Guards against ends that nobody fetches: they would fill the journal until nothing is taken on.
-            while (System.currentTimeMillis() - waiting.peek().since() > keptMillis) {
+            while (SteadyClock.millis() - waiting.peek().since() > keptMillis) {
                 old.add(waiting.poll());
             }
         }
--- a/src/main/java/juniperusher/core/Relay.java
+++ b/src/main/java/juniperusher/core/Relay.java
@@ -1,7 +1,6 @@
 package juniperusher.core;
 
 import java.io.IOException;
-import java.io.UncheckedIOException;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -9,8 +8,12 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import juniperusher.Control;
 import juniperusher.Protocol.Action;
@@ -39,6 +42,7 @@
 import juniperusher.Protocol.TargetList;
 import juniperusher.Protocol.Tenant;
 import juniperusher.Protocol.Withdrawn;
+import juniperusher.clock.SteadyClock;
 import juniperusher.membership.Membership;
 import juniperusher.membership.Snapshot;
 import org.slf4j.Logger;
@@ -52,6 +56,8 @@
     // ms between two looks at the waits that the other process of an upgrade was told: well within the
     // 100 ms in which calls after a wait's answer are let through.
     private static final long FOLLOW_WAITS = 25;
+    private static final long CATCH_UP = 50; // ms between two tries to write what a folder that failed lacks
+    private static final long HELD_BACK = 200; // ms for which an attempt rests that could not be written down
 
     private volatile Settings settings;
     private final Set<Integer> everUnsafe = ConcurrentHashMap.newKeySet(); // places of classes, see unsafe
@@ -70,6 +76,7 @@
     private final Map<String, Rpc> heldIds = new ConcurrentHashMap<>();
     private final Set<String> arriving = ConcurrentHashMap.newKeySet();
     private final AtomicInteger owed = new AtomicInteger();
+    private final AtomicBoolean catchingUp = new AtomicBoolean();
     private volatile long noUnsafeAfter = Long.MAX_VALUE;
     private volatile long noCallAfter = Long.MAX_VALUE;
     private final ScheduledThreadPoolExecutor timers = new ScheduledThreadPoolExecutor(1, task -> {
@@ -135,6 +142,9 @@
         order = new OrderHandover(new SuccessorMark(state), loop::post);
         counters.gauge("held", held::size);
         counters.gauge("journal_bytes", journal::bytes);
+        counters.gauge("journal_behind", () -> journal.behind() ? 1 : 0);
+        counters.gauge("journal_write_failures", journal::failures);
+        journal.whenBehind(this::catchUpSoon);
     }
 
     /** Adds a front; all are added before {@link #start}. */
@@ -162,8 +172,7 @@
         loopThread = new Thread(loop, "decide");
         loopThread.start();
         if (waits != null) {
-            timers.scheduleWithFixedDelay(
-                    this::followWaits, FOLLOW_WAITS, FOLLOW_WAITS, java.util.concurrent.TimeUnit.MILLISECONDS);
+            timers.scheduleWithFixedDelay(this::followWaits, FOLLOW_WAITS, FOLLOW_WAITS, TimeUnit.MILLISECONDS);
         }
         if (journal.successor()) {
             Thread takeOver = new Thread(null, this::takeOver, "take-over", 256 * 1024);
@@ -211,7 +220,7 @@
             return;
         }
         if (told != null) {
-            long now = System.currentTimeMillis();
+            long now = SteadyClock.millis();
             told.forEach((destination, until) -> guards.wait(destination, (until - now) / 1000.0));
         }
     }
@@ -322,13 +331,7 @@
     }
 
     private void takeOn(RpcRequest request, MessageClass kind, Channel channel) {
-        int number;
-        try {
-            number = journal.taken(request, kind.name());
-        } catch (UncheckedIOException e) {
-            LOG.error("an RPC is refused, since it cannot be written down", e);
-            number = -1;
-        }
+        int number = journal.taken(request, kind.name());
         if (number < 0) {
             owed.decrementAndGet();
             refuse(request, channel, "disk");
@@ -376,7 +379,7 @@
                 rpc.orderKey(),
                 Math.max(0, rpc.timeLeft()),
                 attemptsUsed,
-                ran == null ? null : new Ran((System.currentTimeMillis() - ran.at()) / 1000.0, ran.zone()),
+                ran == null ? null : new Ran((SteadyClock.millis() - ran.at()) / 1000.0, ran.zone()),
                 request.again() || companion != null && companion.comesAgain(rpc.number(), request),
                 takenAt,
                 true)));
@@ -497,7 +500,7 @@
         if (result.told() > 0) {
             guards.wait(target.destination(), result.told());
             if (waits != null) {
-                waits.told(target.destination(), System.currentTimeMillis() + (long) Math.ceil(result.told() * 1000));
+                waits.told(target.destination(), SteadyClock.millis() + (long) Math.ceil(result.told() * 1000));
             }
         }
     }
@@ -519,11 +522,42 @@
         subchannels.probe(target, (ok, full, elapsed) -> loop.post(new Probed(target.id(), ok, full, elapsed)));
     }
 
+    // ---- a folder that fails ----
+
+    private void catchUpSoon() {
+        if (catchingUp.compareAndSet(false, true)) {
+            later(CATCH_UP, this::catchUp);
+        }
+    }
+
+    private void catchUp() {
+        catchingUp.set(false);
+        if (!journal.catchUp()) {
+            catchUpSoon();
+        }
+    }
+
+    /** Runs the action after so many milliseconds, or never where this relay is closed by then. */
+    private void later(long millis, Runnable action) {
+        try {
+            timers.schedule(action, millis, TimeUnit.MILLISECONDS);
+        } catch (RejectedExecutionException e) {
+            LOG.debug("closed: {}", e.toString()); // the next process takes up what is owed
+        }
+    }
+
+    /** The result of an attempt that could not be written down, and so did not leave; after a pause. */
+    CompletableFuture<CallResult> heldBack() {
+        CompletableFuture<CallResult> result = new CompletableFuture<>();
+        later(HELD_BACK, () -> result.complete(CallResult.of(CallEnd.HELD_BACK)));
+        return result;
+    }
+
     // ---- an RPC ends ----
 
     void end(Rpc rpc, RpcEnd end) {
         RpcRequest request = rpc.request();
-        journal.ended(rpc.number(), end);
+        boolean written = journal.ended(rpc.number(), end);
         held.remove(rpc.number());
         heldIds.remove(request.key(), rpc);
         owed.decrementAndGet();
@@ -537,7 +571,26 @@
                 end.kind().name().toLowerCase(Locale.ROOT));
         MessageLog.ended(rpc, end);
         order.over(rpc.number());
-        tell(rpc, end, false);
+        if (written) {
+            tell(rpc, end, false);
+        } else {
+            tellSafely(rpc, end);
+        }
+    }
+
+    /**
+     * Tells an end that is not written down yet: once it is, or once the RPC's time is up. Guards against a kill in
+     * between: until then the next process could send what its client was told is over.
+     */
+    private void tellSafely(Rpc rpc, RpcEnd end) {
+        AtomicBoolean told = new AtomicBoolean();
+        Runnable tell = () -> {
+            if (told.compareAndSet(false, true)) {
+                tell(rpc, end, false);
+            }
+        };
+        journal.onceWritten(tell);
+        later(Math.max(0, (long) (rpc.timeLeft() * 1000)), tell);
     }
 
     /** Those behind it in its order wait for the acknowledgement of its end, of which the module knows not. */
@@ -595,7 +648,7 @@
     }
 
     /**
-     * From the first wall-clock time on no call starts that may not be repeated, from the second on none at
+     * From the first time (see {@link SteadyClock}, ms) on no call starts that may not be repeated, from the second on none at
      * all: what is out may end, and what is held is owed by the next process.
      */
     public void noCallsAfter(long unsafe, long any) {
@@ -604,7 +657,7 @@
     }
 
     boolean mayStart(Rpc rpc) {
-        long now = System.currentTimeMillis();
+        long now = SteadyClock.millis();
         return now < noCallAfter
                 && (now < noUnsafeAfter || !unsafe(rpc.request().messageClass()));
     }
--- a/src/main/java/juniperusher/core/Rpc.java
+++ b/src/main/java/juniperusher/core/Rpc.java
@@ -5,6 +5,7 @@
 import juniperusher.Protocol.Fail;
 import juniperusher.Protocol.MessageClass;
 import juniperusher.Protocol.Refuse;
+import juniperusher.clock.SteadyClock;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -57,23 +58,7 @@
                     CompletableFuture<Object> next = new CompletableFuture<>();
                     choice = next;
                     if (made instanceof SharedCall call) {
-                        int attempt = attempts++;
-                        out = call;
-                        last = call;
-                        Journal.Attempt sent =
-                                relay.journal().attempt(number, call.target().zone());
-                        MessageLog.attempt(this, attempt, call);
-                        return call.join(this).thenAccept(result -> {
-                            out = null;
-                            ran = ran == null && !result.end().outcome().neverRan() ? sent : ran;
-                            over = result.end() == CallEnd.DELIVERED || result.end() == CallEnd.OVER;
-                            relay.attemptEnded(this, attempt, call, result, over);
-                            if (over) {
-                                end(RpcEnd.Kind.DELIVERED, 0);
-                            } else {
-                                turn(next);
-                            }
-                        });
+                        return attempt(call, next);
                     } else if (made instanceof Refuse refuse) {
                         end(RpcEnd.Kind.HANDED_BACK, refuse.after());
                     } else if (made instanceof Fail) {
@@ -86,6 +71,35 @@
                 .exceptionally(this::broken);
     }
 
+    private CompletableFuture<Void> attempt(SharedCall call, CompletableFuture<Object> next) {
+        int attempt = attempts++;
+        Journal.Attempt sent;
+        CompletableFuture<CallResult> ended;
+        out = call;
+        try {
+            sent = relay.journal().attempt(number, call.target().zone());
+            last = call;
+            MessageLog.attempt(this, attempt, call);
+            ended = call.join(this);
+        } catch (JournalUnavailableException e) {
+            sent = null;
+            call.leave(this); // the others go without it
+            ended = relay.heldBack();
+        }
+        Journal.Attempt written = sent;
+        return ended.thenAccept(result -> {
+            out = null;
+            ran = ran == null && !result.end().outcome().neverRan() ? written : ran;
+            over = result.end() == CallEnd.DELIVERED || result.end() == CallEnd.OVER;
+            relay.attemptEnded(this, attempt, call, result, over);
+            if (over) {
+                end(RpcEnd.Kind.DELIVERED, 0);
+            } else {
+                turn(next);
+            }
+        });
+    }
+
     private void end(RpcEnd.Kind kind, double retryIn) {
         over = true;
         relay.end(this, new RpcEnd(request.id(), request.returnAddress(), kind, retryIn));
@@ -131,7 +145,7 @@
         Journal.Attempt first = ran;
         return first == null
                 || kind.effect() == Effect.SAFE
-                || kind.effect() == Effect.KEYED && System.currentTimeMillis() - first.at() < kind.keyWindow() * 1000;
+                || kind.effect() == Effect.KEYED && SteadyClock.millis() - first.at() < kind.keyWindow() * 1000;
     }
 
     int number() {
@@ -158,6 +172,6 @@
     }
 
     double timeLeft() {
-        return (request.deadline() - System.currentTimeMillis()) / 1000.0;
+        return (request.deadline() - SteadyClock.millis()) / 1000.0;
     }
 }
--- a/src/main/java/juniperusher/core/SharedWaits.java
+++ b/src/main/java/juniperusher/core/SharedWaits.java
@@ -9,6 +9,7 @@
 import java.nio.file.StandardOpenOption;
 import java.util.HashMap;
 import java.util.Map;
+import juniperusher.clock.SteadyClock;
 import juniperusher.files.ReplacedFile;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -16,7 +17,7 @@
 /**
  * Waits that destinations told, in the folder that lasts, for the other process of an upgrade: the rules see
  * one relay, so a wait told to either binds both. The file {@code waits} holds one line a destination, its
- * number and the wall-clock time in ms until which it waits; it is written whole and moved into place.
+ * number and the steady time in ms until which it waits, see {@link SteadyClock}; it is written whole and moved into place.
  * Waits that are over are dropped when it is written.
  */
 final class SharedWaits {
@@ -51,7 +52,7 @@
     private void add(int destination, long untilMillis) throws IOException {
         Map<Integer, Long> all = read();
         all.merge(destination, untilMillis, Math::max);
-        long now = System.currentTimeMillis();
+        long now = SteadyClock.millis();
         all.values().removeIf(until -> until <= now);
         StringBuilder text = new StringBuilder();
         all.forEach(
@@ -66,7 +67,7 @@
             return null;
         }
         seen = Map.copyOf(all);
-        long now = System.currentTimeMillis();
+        long now = SteadyClock.millis();
         all.values().removeIf(until -> until <= now);
         return all;
     }
--- a/src/main/java/juniperusher/files/ReplacedFile.java
+++ b/src/main/java/juniperusher/files/ReplacedFile.java
@@ -19,7 +19,12 @@
     public static void write(Path target, String text) throws IOException {
         long writer = ProcessHandle.current().pid();
         Path beside = target.resolveSibling(target.getFileName() + ".new-" + writer);
-        Files.writeString(beside, text, StandardCharsets.UTF_8);
+        try {
+            Files.writeString(beside, text, StandardCharsets.UTF_8);
+        } catch (IOException e) {
+            Files.deleteIfExists(beside); // half of it would only take room
+            throw e;
+        }
         try {
             Files.move(beside, target, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
         } catch (AtomicMoveNotSupportedException e) {
--- a/src/main/java/juniperusher/http/Platform.java
+++ b/src/main/java/juniperusher/http/Platform.java
@@ -12,6 +12,7 @@
 import java.util.stream.Stream;
 import juniperusher.Protocol.Target;
 import juniperusher.Protocol.TargetList;
+import juniperusher.clock.SteadyClock;
 import juniperusher.core.Counters;
 import juniperusher.core.Extension;
 import juniperusher.core.Relay;
@@ -276,12 +277,12 @@
     /** What SIGTERM asks for, see {@link Ending}. */
     public void drain() throws InterruptedException, IOException {
         serving = false;
-        long from = System.currentTimeMillis();
+        long from = SteadyClock.millis();
         relay.noCallsAfter(from + Ending.LAST_UNSAFE, from + Ending.LAST_CALL);
         Ending ending = new Ending(handedOn);
         while (true) {
-            List<Ending.Step> steps = ending.at(
-                    System.currentTimeMillis() - from, network.inbound().size(), relay.held(), notices.waiting());
+            List<Ending.Step> steps =
+                    ending.at(SteadyClock.millis() - from, network.inbound().size(), relay.held(), notices.waiting());
             for (Ending.Step step : steps) {
                 switch (step) {
                     case LAST_ANSWERS -> front.close();
--- a/src/main/java/juniperusher/http/PlatformFront.java
+++ b/src/main/java/juniperusher/http/PlatformFront.java
@@ -5,6 +5,7 @@
 import java.nio.channels.ServerSocketChannel;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
+import juniperusher.clock.SteadyClock;
 import juniperusher.core.Channel;
 import juniperusher.core.Counters;
 import juniperusher.core.Front;
@@ -154,7 +155,7 @@
                 name(),
                 place,
                 destination(request.get("X-Envelope")),
-                System.currentTimeMillis() + budget,
+                SteadyClock.millis() + budget,
                 "",
                 false,
                 request.body(),
--- a/src/test/java/juniperusher/core/JournalTest.java
+++ b/src/test/java/juniperusher/core/JournalTest.java
@@ -84,6 +84,8 @@
             int at = ends.get(ends.size() - 1);
             ends.add(at + 8 + ByteBuffer.wrap(all).getInt(at));
         }
+        // A segment begins with a snapshot, of which a fresh journal's holds nothing between its two records.
+        states.addAll(0, List.of("nothing", "nothing"));
         assertEquals(ends.size(), states.size(), "records");
         for (int cut = 0; cut <= all.length; cut++) {
             int whole = 0;
--- a/src/test/java/juniperusher/faults/FolderFaultTest.java
+++ b/src/test/java/juniperusher/faults/FolderFaultTest.java
@@ -48,4 +48,26 @@
             assertEquals(String.join("\n", world.settle()), "");
         }
     }
+
+    @Test
+    public void aFolderThatFailsAtTheStartLosesNothing() throws Exception {
+        try (FaultWorld world = new FaultWorld(3, LONGEST)) {
+            world.send();
+            Thread.sleep(BEFORE);
+            Thread healing = new Thread(() -> {
+                try {
+                    Thread.sleep(FAULT + 1_000);
+                } catch (InterruptedException e) {
+                    Thread.currentThread().interrupt();
+                }
+                world.relay.faults().heal();
+            });
+            world.relay.faults().set(FaultShim.Word.FOLDER_WRITE_ERRNO, FaultShim.EIO);
+            healing.start();
+            world.restart();
+            healing.join();
+            Thread.sleep(FAULT);
+            assertEquals(String.join("\n", world.settle()), "");
+        }
+    }
 }
