Each message ends once, at the latest behind its deadline; accept pauses where it fails

Selector: an accept that fails with EMFILE or ENFILE was tried in a loop, over 21,000 times in 1.5 s. Peers: one failed receive ended the hearing of notes for good. Maintenance whose write failed was undone by the next look at its file. Change: Rpc decides its final answer once; Relay looks each 50 ms for messages that are 0.1 s behind their deadline, ends their call and gives them up, counted as expired_total with a line of log by id. Accepting rests 50 ms after a failure, told once, counted as accept_failures. Peers go on receiving. Maintenance is written again until it is on disk. Threads of the network and of time-outs are started at the start.

--- a/src/main/java/juniperusher/core/Relay.java
+++ b/src/main/java/juniperusher/core/Relay.java
@@ -57,6 +57,9 @@
     // 100 ms in which calls after a wait's answer are let through.
     private static final long FOLLOW_WAITS = 25;
     private static final long CATCH_UP = 50; // ms between two tries to write what a folder that failed lacks
+    private static final double OVERDUE = 0.1; // s behind its deadline at which a message without an end is given up
+    private static final long EXPIRE_FIRST = 2_000; // ms after the start, when what was recovered is decided
+    private static final long EXPIRE = 50; // ms between two looks for such messages
     private static final long HELD_BACK = 200; // ms for which an attempt rests that could not be written down
 
     private volatile Settings settings;
@@ -135,6 +138,7 @@
         this.subchannels = subchannels;
         this.notes = notes;
         this.companion = companion;
+        timers.prestartCoreThread(); // a thread that cannot be started later would leave calls without a time-out
         timers.setRemoveOnCancelPolicy(true); // else each answered call's timer stays up to its time-out
         this.journal = journal;
         this.state = state;
@@ -171,6 +175,7 @@
         }
         loopThread = new Thread(loop, "decide");
         loopThread.start();
+        timers.scheduleWithFixedDelay(this::expireOverdue, EXPIRE_FIRST, EXPIRE, TimeUnit.MILLISECONDS);
         if (waits != null) {
             timers.scheduleWithFixedDelay(this::followWaits, FOLLOW_WAITS, FOLLOW_WAITS, TimeUnit.MILLISECONDS);
         }
@@ -537,6 +542,26 @@
         }
     }
 
+    // ---- the last resort ----
+
+    /** Guards the final answer of each message against whatever keeps the module or a call from ending it. */
+    private void expireOverdue() {
+        try {
+            held.values().stream().filter(rpc -> rpc.timeLeft() < -OVERDUE).forEach(rpc -> {
+                counters.add("expired_total", "class", "" + rpc.request().messageClass());
+                rpc.expire();
+            });
+        } catch (RuntimeException e) {
+            LOG.error("overdue messages", e); // a timer that throws would never run again
+        }
+    }
+
+    /** The module holds the RPC no longer. */
+    void withdraw(Rpc rpc) {
+        answerPending(rpc);
+        loop.post(new Withdrawn(rpc.number()));
+    }
+
     /** Runs the action after so many milliseconds, or never where this relay is closed by then. */
     private void later(long millis, Runnable action) {
         try {
--- a/src/main/java/juniperusher/core/Rpc.java
+++ b/src/main/java/juniperusher/core/Rpc.java
@@ -1,6 +1,7 @@
 package juniperusher.core;
 
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicBoolean;
 import juniperusher.Protocol.Effect;
 import juniperusher.Protocol.Fail;
 import juniperusher.Protocol.MessageClass;
@@ -27,6 +28,7 @@
     private volatile SharedCall out;
     private volatile SharedCall last; // the call of the last attempt, which may be out still, or null
     private volatile boolean over;
+    private final AtomicBoolean ended = new AtomicBoolean(); // its final answer is decided, once
     private volatile Journal.Attempt ran; // the first attempt that may have run, or null
 
     Rpc(int number, RpcRequest request, MessageClass kind, Relay relay) {
@@ -102,24 +104,45 @@
 
     private void end(RpcEnd.Kind kind, double retryIn) {
         over = true;
+        if (!ended.compareAndSet(false, true)) {
+            return; // it has its one final answer
+        }
         relay.end(this, new RpcEnd(request.id(), request.returnAddress(), kind, retryIn));
     }
 
     /** Guards against an RPC that nobody answers for: what broke is unknown, so it may have run. */
     private Void broken(Throwable why) {
         LOG.error("RPC {} failed", number, why);
+        boolean delivered = over;
         SharedCall shared = out;
         if (shared != null) {
             shared.fail(this);
         }
-        if (!over) {
-            over = true;
+        if (!ended.get()) {
             relay.abandon(this, attempts - 1, shared);
-            end(RpcEnd.Kind.GIVEN_UP, 0);
+            end(delivered ? RpcEnd.Kind.DELIVERED : RpcEnd.Kind.GIVEN_UP, 0);
         }
         return null;
     }
 
+    /**
+     * Ends it, its call first, as its time is up and nothing else has: the last resort, whatever became of the module's
+     * choice or of the call's end.
+     */
+    void expire() {
+        LOG.atError()
+                .addKeyValue("id", request.id())
+                .addKeyValue("attempts", attempts)
+                .addKeyValue("call_out", out != null)
+                .log("no end in its time, given up");
+        SharedCall shared = out;
+        if (shared != null) {
+            shared.fail(this);
+        }
+        relay.withdraw(this);
+        end(RpcEnd.Kind.GIVEN_UP, 0);
+    }
+
     /** The module's choice: a {@link SharedCall}, a {@link Refuse} or a {@link Fail}. */
     void choose(Object made) {
         choice.complete(made);
--- a/src/main/java/juniperusher/http/Peers.java
+++ b/src/main/java/juniperusher/http/Peers.java
@@ -3,7 +3,9 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
+import java.nio.channels.ClosedChannelException;
 import java.nio.channels.DatagramChannel;
+import java.util.concurrent.locks.LockSupport;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import juniperusher.Protocol.Noted;
@@ -14,6 +16,7 @@
 final class Peers implements AutoCloseable {
     private static final Logger LOG = LoggerFactory.getLogger(Peers.class);
     private static final int MOST = 256;
+    private static final long PAUSE = 20_000_000; // ns after a failure, so that one that stays costs little
 
     private final Supplier<Config> config;
     private final DatagramChannel channel;
@@ -56,8 +59,8 @@
 
     private void receive(Consumer<Noted> noted) {
         ByteBuffer bytes = ByteBuffer.allocate(MOST);
-        try {
-            while (channel.isOpen()) {
+        while (channel.isOpen()) {
+            try {
                 bytes.clear();
                 int from = config.get().peers().indexOf(channel.receive(bytes));
                 if (from >= 0) {
@@ -65,9 +68,13 @@
                     bytes.get(note);
                     noted.accept(new Noted(from, note));
                 }
+            } catch (ClosedChannelException e) {
+                LOG.debug("notes end: {}", e.toString());
+            } catch (IOException e) {
+                // Guards against a failure that passes: without notes this relay would count as alone for good.
+                LOG.debug("a note was not received: {}", e.toString());
+                LockSupport.parkNanos(PAUSE);
             }
-        } catch (IOException e) {
-            LOG.debug("notes end: {}", e.toString());
         }
     }
 
--- a/src/main/java/juniperusher/http/Platform.java
+++ b/src/main/java/juniperusher/http/Platform.java
@@ -55,6 +55,7 @@
     private final Object held = new Object(); // orders what the module is told of discovery and maintenance
     private final MaintenanceFile maintenanceFile;
     private Maintenance maintenance = Maintenance.NONE;
+    private boolean maintenanceUnwritten; // the file lacks what is in force; under the lock of what is told
     private Snapshot told = Snapshot.EMPTY; // discovery's word, before maintenance
     private boolean deciding; // the relay has started; under the lock of what it is told
     private volatile boolean serving;
@@ -120,6 +121,7 @@
         counters.gauge("connections_shed", network::shed);
         counters.gauge("connections_unopened", network::unopened);
         counters.gauge("connections_coming", network::coming);
+        counters.gauge("accept_failures", network::acceptFailures);
         front = new PlatformFront(config::get, notices, counters, relay);
         relay.add(front);
         if (extension != null) {
@@ -212,8 +214,10 @@
             try {
                 // Written before the yes, so that a restart or the other process of an upgrade keeps it.
                 maintenanceFile.write(next);
+                maintenanceUnwritten = false;
             } catch (IOException e) {
-                LOG.atError().addKeyValue("target", id).log("maintenance is not kept on disk: {}", e.toString());
+                maintenanceUnwritten = true; // and is written as soon as that can be
+                LOG.atError().addKeyValue("target", id).log("maintenance is not on disk yet: {}", e.toString());
             }
             hold(next);
             return Answer.DONE;
@@ -226,15 +230,33 @@
             return;
         }
         synchronized (held) {
-            Maintenance onDisk = readMaintenance(maintenance);
-            if (!onDisk.equals(maintenance)) {
-                LOG.atInfo().addKeyValue("held", onDisk.held()).log("maintenance taken from the folder");
-                hold(onDisk);
+            if (maintenanceUnwritten) {
+                writeMaintenance(); // what the file holds is older than what is in force
+            } else {
+                takeMaintenance();
             }
         }
         network.scheduler().schedule(this::followMaintenance, FOLLOW, TimeUnit.MILLISECONDS);
     }
 
+    private void writeMaintenance() {
+        try {
+            maintenanceFile.write(maintenance);
+            maintenanceUnwritten = false;
+            LOG.info("maintenance is on disk now");
+        } catch (IOException e) {
+            LOG.debug("maintenance is not on disk yet: {}", e.toString());
+        }
+    }
+
+    private void takeMaintenance() {
+        Maintenance onDisk = readMaintenance(maintenance);
+        if (!onDisk.equals(maintenance)) {
+            LOG.atInfo().addKeyValue("held", onDisk.held()).log("maintenance taken from the folder");
+            hold(onDisk);
+        }
+    }
+
     private Maintenance readMaintenance(Maintenance otherwise) {
         try {
             return maintenanceFile.read();
--- a/src/main/java/juniperusher/net/Network.java
+++ b/src/main/java/juniperusher/net/Network.java
@@ -4,10 +4,12 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.StandardSocketOptions;
+import java.nio.channels.ClosedChannelException;
 import java.nio.channels.SelectableChannel;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Function;
@@ -20,23 +22,29 @@
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
 import org.eclipse.jetty.util.thread.ScheduledExecutorScheduler;
 import org.eclipse.jetty.util.thread.Scheduler;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** Jetty's selector, its threads and its timers, for the connections of every front. */
 public class Network implements AutoCloseable {
+    private static final Logger LOG = LoggerFactory.getLogger(Network.class);
     private static final int MOST_THREADS = 8; // reading is the selector's own work: few hand-overs are left
     // Of the descriptors, for connections that come in: clients hold a third at most, the rest is for
     // bad ones to be turned away on; what remains is for calls, the watch, the journal and the JVM.
     private static final double INBOUND_SHARE = 0.45;
     private static final double COMING_SHARE = 0.1; // the same for those that are not yet looked at
+    private static final long ACCEPT_PAUSE = 50; // ms for which nothing is accepted after that has failed
     private static final int LEAST_INBOUND = 16; // connections, whatever the limit says
 
-    private final QueuedThreadPool threads = new QueuedThreadPool(MOST_THREADS, 4);
+    // All are started at once: one that cannot be started later would leave a connection without its turn.
+    private final QueuedThreadPool threads = new QueuedThreadPool(MOST_THREADS, MOST_THREADS);
     private final Scheduler scheduler = new ScheduledExecutorScheduler("timers", true);
     private final Selector selector = new Selector();
     private final Inbound inbound;
     private final AtomicLong shed = new AtomicLong();
     private final AtomicLong unopened = new AtomicLong();
     private final AtomicInteger coming = new AtomicInteger();
+    private final AtomicLong acceptFailures = new AtomicLong();
     private final int mostIn;
 
     /** Someone who wants a connection: makes its object once it is up, or hears why it is not. */
@@ -156,6 +164,11 @@
         return unopened.get();
     }
 
+    /** How often a connection could not be accepted. */
+    public long acceptFailures() {
+        return acceptFailures.get();
+    }
+
     /** How many have come and are not yet looked at. */
     public int coming() {
         return coming.get();
@@ -177,7 +190,16 @@
     }
 
     /** What a listener serves its connections with, and whether they count towards the clients' bound. */
-    private record Listening(Function<EndPoint, Connection> factory, boolean bounded) {}
+    private static final class Listening {
+        final Function<EndPoint, Connection> factory;
+        final boolean bounded;
+        volatile Closeable acceptor;
+
+        Listening(Function<EndPoint, Connection> factory, boolean bounded) {
+            this.factory = factory;
+            this.bounded = bounded;
+        }
+    }
 
     @Override
     public void close() {
@@ -189,20 +211,65 @@
     private final class Selector extends SelectorManager {
         private final java.util.Map<SelectableChannel, Listening> listeners =
                 new java.util.concurrent.ConcurrentHashMap<>();
+        private volatile boolean acceptFails; // the last accept has failed
 
         Selector() {
             super(threads, scheduler, 1);
         }
 
         Closeable listen(ServerSocketChannel channel, Function<EndPoint, Connection> factory, boolean bounded) {
-            listeners.put(channel, new Listening(factory, bounded));
-            Closeable acceptor = acceptor(channel);
+            Listening listening = new Listening(factory, bounded);
+            listeners.put(channel, listening);
+            listening.acceptor = acceptor(channel);
             return () -> {
                 listeners.remove(channel);
-                acceptor.close();
+                listening.acceptor.close();
             };
         }
 
+        /**
+         * Accepts a connection. Guards the processor against an accept that keeps failing (no descriptor is left, say)
+         * while connections wait: the selector would come back to it at once.
+         */
+        @Override
+        protected SelectableChannel doAccept(SelectableChannel server) throws IOException {
+            try {
+                SelectableChannel accepted = super.doAccept(server);
+                acceptFails &= accepted == null;
+                return accepted;
+            } catch (ClosedChannelException e) {
+                throw e;
+            } catch (IOException e) {
+                acceptFailures.incrementAndGet();
+                if (!acceptFails) {
+                    acceptFails = true;
+                    LOG.atWarn().log("connections cannot be accepted for now: {}", e.toString());
+                }
+                pauseAccepting(server);
+                return null;
+            }
+        }
+
+        private void pauseAccepting(SelectableChannel server) throws IOException {
+            Listening listening = listeners.get(server);
+            if (listening != null) {
+                listening.acceptor.close();
+                scheduler.schedule(() -> acceptAgain(server), ACCEPT_PAUSE, TimeUnit.MILLISECONDS);
+            }
+        }
+
+        private void acceptAgain(SelectableChannel server) {
+            Listening listening = listeners.get(server);
+            if (listening == null) {
+                return;
+            }
+            if (server.isRegistered()) { // the selector has not let it go yet
+                scheduler.schedule(() -> acceptAgain(server), ACCEPT_PAUSE, TimeUnit.MILLISECONDS);
+            } else {
+                listening.acceptor = acceptor(server);
+            }
+        }
+
         @Override
         protected void accepted(SelectableChannel channel) throws IOException {
             SocketChannel socket = (SocketChannel) channel;
--- a/src/test/java/juniperusher/faults/FaultWorld.java
+++ b/src/test/java/juniperusher/faults/FaultWorld.java
@@ -19,6 +19,7 @@
     private static final long KILL_AFTER = 3_700;
 
     private static final long START_AFTER = 600;
+    private static final long CONNECTING = 400; // ms after SIGTERM in which new connections come
 
     final MessageLedger ledger = new MessageLedger();
     final List<EndpointStandIn> endpoints = new ArrayList<>();
@@ -28,6 +29,7 @@
     private final long longest;
     private final List<Thread> clients = new ArrayList<>();
     private volatile boolean sending;
+    private volatile boolean connecting = true; // the front still deals connections out to the relay
 
     /** Messages have between 400 ms and {@code longest} ms of time. */
     FaultWorld(long seed, long longest) throws Exception {
@@ -64,7 +66,7 @@
     }
 
     private void client(Random own) {
-        try (TrafficClient client = new TrafficClient(relay.address(), ledger)) {
+        try (TrafficClient client = new TrafficClient(relay.address(), ledger, () -> connecting)) {
             while (sending) {
                 int place = own.nextDouble() < ORDERS ? 1 : 0;
                 long budget = 400 + (long) (own.nextDouble() * (longest - 400));
@@ -105,16 +107,21 @@
         startAgain(from);
     }
 
-    /** SIGTERM, SIGKILL at the earliest moment, then a start in the same folder. */
-    void endAndRestart() throws IOException, InterruptedException {
+    /** So many SIGTERM in a row, SIGKILL at the earliest moment, then a start in the same folder. */
+    void endAndRestart(int signals) throws IOException, InterruptedException {
         long from = System.nanoTime();
         ledger.noOverdueFrom(from);
-        relay.signal("TERM");
-        Thread.sleep(KILL_AFTER);
+        for (int i = 0; i < signals; i++) {
+            relay.signal("TERM");
+        }
+        Thread.sleep(CONNECTING);
+        connecting = false;
+        Thread.sleep(KILL_AFTER - CONNECTING);
         long killed = System.nanoTime();
         ledger.outage(killed, Long.MAX_VALUE / 2);
         relay.kill();
         startAgain(killed);
+        connecting = true;
     }
 
     private void startAgain(long from) throws IOException, InterruptedException {
--- a/src/test/java/juniperusher/faults/RelayUnderTest.java
+++ b/src/test/java/juniperusher/faults/RelayUnderTest.java
@@ -56,6 +56,10 @@
         Files.writeString(folder.resolve("relay.json"), config.toString());
     }
 
+    Path folder() {
+        return folder;
+    }
+
     FaultShim faults() {
         return faults;
     }
--- a/src/test/java/juniperusher/faults/TrafficClient.java
+++ b/src/test/java/juniperusher/faults/TrafficClient.java
@@ -7,6 +7,7 @@
 import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.BooleanSupplier;
 
 /** A client that hands messages in, one request at a time on a connection that it keeps. */
 final class TrafficClient implements AutoCloseable {
@@ -21,6 +22,7 @@
 
     private final InetSocketAddress relay;
     private final MessageLedger ledger;
+    private final BooleanSupplier mayConnect;
     private Socket socket;
 
     /** How a request ended. */
@@ -34,8 +36,14 @@
     }
 
     TrafficClient(InetSocketAddress relay, MessageLedger ledger) {
+        this(relay, ledger, () -> true);
+    }
+
+    /** One that opens connections only while {@code mayConnect} says so. */
+    TrafficClient(InetSocketAddress relay, MessageLedger ledger, BooleanSupplier mayConnect) {
         this.relay = relay;
         this.ledger = ledger;
+        this.mayConnect = mayConnect;
     }
 
     static String newId() {
@@ -68,6 +76,9 @@
     }
 
     private Answer exchange(int place, int destination, long budgetMillis, String id) {
+        if (socket == null && !mayConnect.getAsBoolean()) {
+            return Answer.UNREACHED;
+        }
         try {
             if (socket == null) {
                 socket = new Socket();
@@ -115,11 +126,6 @@
         };
     }
 
-    /** Whether its connection is open as far as it knows. */
-    boolean connected() {
-        return socket != null;
-    }
-
     @Override
     public void close() {
         try {
