--- a/src/main/java/juniperusher/http/StatusReporter.java
+++ b/src/main/java/juniperusher/http/StatusReporter.java
@@ -111,20 +111,20 @@
         out.remove(number);
     }
 
-    /**
-     * Sets the timer to when the queue wants to be asked again. One that goes off earlier is left: nearly every
-     * post is answered long before, and to cancel a timer for each costs more than to look once for nothing.
-     */
+    /** Sets the timer to when the queue wants to be asked again, or to none. */
     private void schedule() {
         long next = queue.nextPostAt();
-        if (next >= timerAt) {
+        if (next == timerAt) {
             return;
         }
         if (timer != null) {
             timer.cancel();
+            timer = null;
         }
         timerAt = next;
-        timer = network.scheduler().schedule(this::tick, Math.max(1, next - now()), TimeUnit.MILLISECONDS);
+        if (next != ReportQueue.NEVER) {
+            timer = network.scheduler().schedule(this::tick, Math.max(1, next - now()), TimeUnit.MILLISECONDS);
+        }
     }
 
     private void tick() {
--- a/src/test/java/juniperusher/faults/TcpConnections.java
+++ b/src/test/java/juniperusher/faults/TcpConnections.java
@@ -7,8 +7,8 @@
 import java.util.List;
 
 /**
- * What the kernel knows of the connections on loopback. A close by one process is there at once, before that process does
- * anything else, however late the thread runs that reads the other end.
+ * What the kernel knows of the connections on loopback. A close by one process is there at once, before that
+ * process does anything else, however late the thread runs that reads the other end.
  */
 final class TcpConnections {
     private static final List<Path> TABLES = List.of(Path.of("/proc/net/tcp"), Path.of("/proc/net/tcp6"));
