--- a/src/main/java/juniperusher/clock/SteadyClock.java
+++ b/src/main/java/juniperusher/clock/SteadyClock.java
@@ -5,10 +5,10 @@
 import java.nio.file.Path;
 
 /**
- * Milliseconds for deadlines and windows that have to outlive a process. It begins at the wall clock's time and then
- * runs by the monotonic clock alone, so that a step of the wall clock moves no deadline. A process resumes the clock of
- * the one before by a {@link Mark} that it left: Linux's monotonic clock runs on over processes until the machine starts
- * again. Where that cannot be known, the wall clock decides.
+ * Milliseconds for deadlines and windows that have to outlive a process. It begins at the wall clock's time and
+ * then runs by the monotonic clock alone, so that a step of the wall clock moves no deadline. A process resumes the
+ * clock of the one before by a {@link Mark} that it left: Linux's monotonic clock runs on over processes until the
+ * machine starts again. Where that cannot be known, the wall clock decides.
  *
  * <p>One clock for the process; safe for threads.
  */
--- a/src/main/java/juniperusher/core/Journal.java
+++ b/src/main/java/juniperusher/core/Journal.java
@@ -32,8 +32,8 @@
  *
  * <p>At an upgrade two processes share the folder. The one that holds the lock on {@code owner} is the owner; a process
  * that finds the lock held starts as a successor: it takes up nothing, writes segments of its own numbers, and leaves
- * the others' segments alone until {@link #adopt} finds the lock free (the other process has ended), when it copies what
- * they owe into its own and removes them.
+ * the others' segments alone until {@link #adopt} finds the lock free (the other process has ended), when it copies
+ * what they owe into its own and removes them.
  *
  * <p>Safe for threads.
  */
--- a/src/main/java/juniperusher/core/RpcRequest.java
+++ b/src/main/java/juniperusher/core/RpcRequest.java
@@ -7,7 +7,7 @@
  * @param front         name of the front that took it in
  * @param messageClass  place of its class in the settings
  * @param destination   number of its destination
- * @param deadline      time in milliseconds by which it may still be delivered, see {@link juniperusher.clock.SteadyClock}
+ * @param deadline      time in ms by which it may still be delivered, see {@link juniperusher.clock.SteadyClock}
  * @param returnAddress where its end is told; the front's own text, may be empty
  * @param once          a repeat of its id, while it is held or lately over, is not taken on a second time
  * @param body          the bytes passed on
--- a/src/main/java/juniperusher/core/SharedWaits.java
+++ b/src/main/java/juniperusher/core/SharedWaits.java
@@ -17,7 +17,7 @@
 /**
  * Waits that destinations told, in the folder that lasts, for the other process of an upgrade: the rules see
  * one relay, so a wait told to either binds both. The file {@code waits} holds one line a destination, its
- * number and the steady time in ms until which it waits, see {@link SteadyClock}; it is written whole and moved into place.
+ * number and the time in ms until which it waits, see {@link SteadyClock}; it is written whole and moved into place.
  * Waits that are over are dropped when it is written.
  */
 final class SharedWaits {
