ReplyQueue drops an expired outcome that is put back while nothing else is queued

Cause: ReplyQueue.add took expired outcomes off the queue until one was young enough, without asking whether one was left.

Change: the loop ends at an empty queue.

--- a/src/main/java/juniperusher/amqp/ReplyQueue.java
+++ b/src/main/java/juniperusher/amqp/ReplyQueue.java
@@ -49,7 +49,7 @@
         synchronized (this) {
             pending.add(delivery);
             // Outcomes that no client consumes expire: they would fill the journal until the relay accepts no RPC.
-            while (SteadyClock.millis() - pending.peek().createdMillis() > retentionMillis) {
+            while (!pending.isEmpty() && SteadyClock.millis() - pending.peek().createdMillis() > retentionMillis) {
                 expired.add(pending.poll());
             }
         }
