Input that belongs to no call is logged with its endpoint and counted by reason

Cause of the silence: HttpClientConnection closed a connection with surplus input without a word.

The connection's own buffer takes discarded input, so that the head that is logged is its own.

What is done with an answer does not change here.

--- a/src/main/java/juniperusher/http/RelayServer.java
+++ b/src/main/java/juniperusher/http/RelayServer.java
@@ -122,9 +122,11 @@
         this.network = network;
         this.extension = extension;
         var limits = initialConfig.parsedSettings().settings().limits();
-        HttpPool pool =
-                new HttpPool(network, limits.keepAlive() * IDLE_TIME_SHARE, Math.max(MIN_IDLE_CONNECTION_LIMIT, (int)
-                        (initialConfig.maxDescriptors() * IDLE_DESCRIPTOR_SHARE)));
+        HttpPool pool = new HttpPool(
+                network,
+                limits.keepAlive() * IDLE_TIME_SHARE,
+                Math.max(MIN_IDLE_CONNECTION_LIMIT, (int) (initialConfig.maxDescriptors() * IDLE_DESCRIPTOR_SHARE)),
+                new UnexpectedInputLog(counters));
         peerDatagrams = new PeerDatagrams(config::get);
         Relay[] relayHolder = new Relay[1];
         maintenanceFile = new MaintenanceFile(state);
--- a/src/main/java/juniperusher/net/HttpClientConnection.java
+++ b/src/main/java/juniperusher/net/HttpClientConnection.java
@@ -36,8 +36,7 @@
     // Idle time after which a connection whose output is shut down is closed.
     private static final long LINGER_IDLE_TIMEOUT_MILLIS = 1_000;
     private static final int MAX_DISCARDED_BYTES = 1 << 20; // read and discarded after the output is shut down
-    // Shared by all connections, because its content is never read.
-    private static final ByteBuffer DISCARD_BUFFER = ByteBuffer.allocateDirect(16 * 1024);
+    private static final int REPORTED_HEAD_BYTES = 40; // of input that belongs to no exchange
 
     private final Network network;
     private final HttpPool pool;
@@ -82,13 +81,38 @@
 
     /** Whether the connection is usable and no input has arrived since the last response. Checked before reuse. */
     synchronized boolean hasNoInput() {
+        return hasNoInput(UnexpectedInputListener.Reason.WHILE_IDLE);
+    }
+
+    private boolean hasNoInput(UnexpectedInputListener.Reason reasonOfInput) {
         try {
-            return isUsable() && !input.hasRemaining() && getEndPoint().fill(input) == 0;
+            boolean noInput =
+                    isUsable() && !input.hasRemaining() && getEndPoint().fill(input) == 0;
+            reportUnexpected(input, reasonOfInput);
+            return noInput;
         } catch (IOException e) {
             return false;
         }
     }
 
+    /** Reports the remaining bytes of the buffer, if there are any, as input that belongs to no exchange. */
+    private void reportUnexpected(ByteBuffer bytes, UnexpectedInputListener.Reason reason) {
+        if (bytes.hasRemaining()) {
+            pool.unexpectedInput()
+                    .unexpectedInput(
+                            getEndPoint().getRemoteSocketAddress(), reason, bytes.remaining(), printableHead(bytes));
+        }
+    }
+
+    private static String printableHead(ByteBuffer bytes) {
+        StringBuilder head = new StringBuilder();
+        for (int i = 0; i < Math.min(REPORTED_HEAD_BYTES, bytes.remaining()); i++) {
+            char character = (char) bytes.get(bytes.position() + i);
+            head.append(character > ' ' && character < 127 ? character : '_');
+        }
+        return head.toString();
+    }
+
     /**
      * Writes the exchange's request. From here on its last byte may have been sent, unless the failed write reports
      * that bytes remain. Returns the connection to the pool if the exchange has ended meanwhile.
@@ -183,10 +207,10 @@
     private void discardInput() {
         try {
             while (true) {
-                ByteBuffer buffer = DISCARD_BUFFER.duplicate();
-                BufferUtil.clear(buffer);
-                int n = getEndPoint().fill(buffer);
+                BufferUtil.clear(input);
+                int n = getEndPoint().fill(input);
                 discardedBytes += Math.max(0, n);
+                reportUnexpected(input, UnexpectedInputListener.Reason.AFTER_SHUTDOWN);
                 if (n < 0 || discardedBytes > MAX_DISCARDED_BYTES) {
                     close();
                     return;
@@ -240,6 +264,7 @@
                     }
                 }
                 if (currentExchange == null) {
+                    reportUnexpected(input, UnexpectedInputListener.Reason.WHILE_IDLE);
                     closed = true; // input without a request in flight
                     lingering = true;
                     return () -> {
@@ -302,7 +327,7 @@
         currentExchange = null;
         interimResponses = 0;
         resetParser();
-        boolean reuse = keepAlive && hasNoInput();
+        boolean reuse = hasNoInput(UnexpectedInputListener.Reason.BEHIND_RESPONSE) && keepAlive;
         if (reuse && fromSelector) {
             fillInterested();
         }
--- a/src/main/java/juniperusher/net/HttpPool.java
+++ b/src/main/java/juniperusher/net/HttpPool.java
@@ -24,6 +24,7 @@
     private final Network network;
     private final long idleTimeoutNanos;
     private final int maxIdle;
+    private final UnexpectedInputListener unexpectedInput;
     private final Map<ConnectionKey, Deque<HttpClientConnection>> idleByKey = new HashMap<>();
     private int idleCount;
 
@@ -32,8 +33,14 @@
 
     /** Creates a pool that keeps at most {@code maxIdle} idle connections, each for {@code idleTimeoutSeconds}. */
     public HttpPool(Network network, double idleTimeoutSeconds, int maxIdle) {
+        this(network, idleTimeoutSeconds, maxIdle, UnexpectedInputListener.NONE);
+    }
+
+    /** Creates a pool that also reports input that belongs to no exchange. */
+    public HttpPool(Network network, double idleTimeoutSeconds, int maxIdle, UnexpectedInputListener unexpectedInput) {
         this.network = network;
         this.maxIdle = maxIdle;
+        this.unexpectedInput = unexpectedInput;
         idleTimeoutNanos = (long) (idleTimeoutSeconds * 1e9);
         closeExpired();
     }
@@ -146,6 +153,10 @@
         return oldest.pollLast();
     }
 
+    UnexpectedInputListener unexpectedInput() {
+        return unexpectedInput;
+    }
+
     void release(Exchange exchange, HttpClientConnection connection) {
         addIdle(exchange.key, connection);
     }
