Failing tests: bytes behind an answer are taken for the answer to the next call

Reproduction: StrayAnswerTest runs a relay process among stand-ins whose answers are followed by stray bytes (one in five: a copy at once, after 1 to 12, 20 to 80, 100 to 400, 1,000 to 3,000 ms, in pieces, several, a refusal or a time-out notice that nobody asked for, lengths that are wrong); in its second test the platform answers each post of status reports with two 204 and resets three posts in ten. The stand-ins' 204 has no Content-Length any more, as before.

--- a/src/test/java/juniperusher/faults/EndpointStandIn.java
+++ b/src/test/java/juniperusher/faults/EndpointStandIn.java
@@ -21,6 +21,8 @@
         DELIVER,
         FAIL,
         TURN_AWAY,
+        /** 503 without a delay: the call has not run. */
+        REFUSE,
         HANG,
         CUT_ANSWER,
         RESET
@@ -41,7 +43,7 @@
     @Override
     boolean handle(Request request, Connection connection) throws IOException {
         if (request.method().equals("GET")) {
-            connection.answer("200 OK", "", "");
+            answer(connection, "200 OK", "", "");
             return true;
         }
         boolean shared = request.path().equals("/receive-many");
@@ -55,20 +57,24 @@
             ids.forEach(id -> ledger.callEnded(id, call, true, "ended without an answer"));
             return false;
         }
-        return answer(treatment.kind(), ids, shared, call, connection);
+        return treat(treatment.kind(), ids, shared, call, connection);
     }
 
-    private boolean answer(
+    private boolean treat(
             TreatmentKind kind, List<String> ids, boolean shared, TcpConnections.EndPorts call, Connection connection)
             throws IOException {
         switch (kind) {
             case FAIL -> {
                 ids.forEach(id -> ledger.callEnded(id, call, true, "failed"));
-                connection.answer("500 Failed", "", "");
+                answer(connection, "500 Failed", "", "");
             }
             case TURN_AWAY -> {
                 ids.forEach(id -> ledger.callEnded(id, call, false, "turned away"));
-                connection.answer("429 Later", "Retry-After: 0.2\r\n", "");
+                answer(connection, "429 Later", "Retry-After: 0.2\r\n", "");
+            }
+            case REFUSE -> {
+                ids.forEach(id -> ledger.callEnded(id, call, false, "refused"));
+                answer(connection, "503 Busy", "", "");
             }
             case CUT_ANSWER -> {
                 ids.forEach(id -> ledger.callEnded(id, call, true, "answered in part"));
@@ -83,7 +89,7 @@
             }
             default -> {
                 ids.forEach(id -> ledger.delivered(id, call));
-                connection.answer("200 OK", "", shared ? deliveredStates(ids) : "");
+                answer(connection, "200 OK", "", shared ? deliveredStates(ids) : "");
             }
         }
         return true;
--- a/src/test/java/juniperusher/faults/HttpStandIn.java
+++ b/src/test/java/juniperusher/faults/HttpStandIn.java
@@ -21,6 +21,7 @@
 
     private final ServerSocket server;
     private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
+    private volatile StrayBytes strayBytes = StrayBytes.NONE;
 
     /** One request. Header names are in lower case. */
     record Request(String method, String path, Map<String, String> headers, byte[] body) {
@@ -38,6 +39,16 @@
         return server.getLocalPort();
     }
 
+    /** Sets what follows the answers from now on. */
+    void setStrayBytes(StrayBytes next) {
+        strayBytes = next;
+    }
+
+    /** Writes an answer and what follows it. */
+    void answer(Connection connection, String status, String headers, String body) throws IOException {
+        strayBytes.answer(connection, status, headers, body);
+    }
+
     private void accept() throws IOException {
         while (true) {
             Socket socket = server.accept();
@@ -158,17 +169,15 @@
             }
         }
 
-        void write(String text) throws IOException {
+        synchronized void write(String text) throws IOException {
             socket.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
         }
 
-        void answer(String status, String headers, String body) throws IOException {
-            write(response(status, headers, body));
-        }
-
         static String response(String status, String headers, String body) {
-            return "HTTP/1.1 " + status + "\r\nContent-Length: " + body.getBytes(StandardCharsets.UTF_8).length + "\r\n"
-                    + headers + "\r\n" + body;
+            String length = status.startsWith("204") // which has no content and no field for its length
+                    ? ""
+                    : "Content-Length: " + body.getBytes(StandardCharsets.UTF_8).length + "\r\n";
+            return "HTTP/1.1 " + status + "\r\n" + length + headers + "\r\n" + body;
         }
 
         /** Closes the connection with a reset. */
--- a/src/test/java/juniperusher/faults/PlatformStandIn.java
+++ b/src/test/java/juniperusher/faults/PlatformStandIn.java
@@ -5,6 +5,7 @@
 import com.eclipsesource.json.JsonObject;
 import java.io.IOException;
 import java.util.List;
+import java.util.Random;
 import java.util.function.IntFunction;
 
 /** The discovery agent and the receiver of status reports at one address; discovery can become unresponsive. */
@@ -14,6 +15,8 @@
     private final MessageLedger ledger;
     private volatile String endpointList = "";
     private volatile boolean discoverySilent;
+    private volatile double resetShare;
+    private final Random random = new Random(1);
 
     PlatformStandIn(MessageLedger ledger) throws IOException {
         this.ledger = ledger;
@@ -46,21 +49,30 @@
         discoverySilent = silent;
     }
 
+    /** Sets the share of posts with status reports whose connection is reset, as if they had not been read. */
+    void setResetShare(double share) {
+        resetShare = share;
+    }
+
     @Override
     boolean handle(Request request, Connection connection) throws IOException {
         if (request.path().equals("/status")) {
+            if (random.nextDouble() < resetShare) {
+                connection.reset(); // as if it had not been read
+                return false;
+            }
             for (String line : request.text().split("\n")) {
                 JsonObject report = Json.parse(line).asObject();
                 ledger.reported(report.getString("message", ""), report.getString("outcome", ""));
             }
-            connection.write("HTTP/1.1 204 No Content\r\n\r\n");
+            answer(connection, "204 No Content", "", "");
             return true;
         }
         if (discoverySilent) {
             return !connection.closedByPeerWithin(HEARTBEAT_MILLIS * 5L);
         }
         if (!request.path().contains("stream=1")) {
-            connection.answer("200 OK", "", endpointList);
+            answer(connection, "200 OK", "", endpointList);
             return true;
         }
         connection.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
