Each HTTP connection carries one exchange, so that no answer can belong to another

Cause: HttpClientConnection took the next response on a connection for the answer to the call that was out, and the pool handed connections on. An answer of HTTP/1.1 names no call: a copy that comes behind the next request is read as its answer, a 503 as proof that it never ran, a 200 as its delivery, a 204 as an acknowledgement; the true answer is then read as the one to the call after that. The look for input before reuse sees only copies that come while the connection rests.

Change: HttpPool.Reuse.NEVER for the relay's pool: endpoints, probes, status reports, discovery, remote write. Only connections that have carried nothing are kept. On them three more places are closed: bytes before a request keep it from being written; a response that starts while a part of the request waits for room is none, and the call never ran; a refusal with bytes behind it in the same moment proves nothing, so its messages may have run (the wait it tells is kept). The laboratory's client and forwarder, which talk to our own stand-ins, say TRUSTED_PEER.

Why it works: the first response on a connection behind a whole request is the only one that can be an answer to it; what comes later meets no call, however late.

EarlyAnswerTest asks for the reusing pool, and its peer resets only behind a response, as its name says.

--- a/src/main/java/juniperusher/core/CallEnd.java
+++ b/src/main/java/juniperusher/core/CallEnd.java
@@ -59,6 +59,14 @@
         return status == 200 && rpcs == 1 ? DELIVERED : this;
     }
 
+    /**
+     * Returns {@code FAILED} if this end claims that the call never ran, as it may have run if the answer does not prove
+     * it; otherwise this end.
+     */
+    public CallEnd withoutProof() {
+        return outcome.neverRan() ? FAILED : this;
+    }
+
     /**
      * Returns {@code NOT_CONNECTED} if this end interrupted the call before its last byte was written, since the call
      * never ran then; otherwise this end.
--- a/src/main/java/juniperusher/http/HttpSubchannels.java
+++ b/src/main/java/juniperusher/http/HttpSubchannels.java
@@ -79,10 +79,22 @@
 
                     @Override
                     public void answered(HttpMessage response) {
+                        reportResults(response, callEnds(response, rpcs));
+                    }
+
+                    @Override
+                    public void answeredWithStrayInput(HttpMessage response) {
+                        reportResults(
+                                response,
+                                callEnds(response, rpcs).stream()
+                                        .map(CallEnd::withoutProof)
+                                        .toList());
+                    }
+
+                    private void reportResults(HttpMessage response, List<CallEnd> ends) {
                         removeFromInFlight();
                         double retryAfterSeconds = response.retryAfterSeconds();
                         LoadReport report = loadReport(response);
-                        List<CallEnd> ends = callEnds(response, rpcs);
                         for (int i = 0; i < rpcs.size(); i++) {
                             resultListener.ended(i, new CallResult(ends.get(i), retryAfterSeconds, report));
                         }
--- a/src/main/java/juniperusher/http/RelayServer.java
+++ b/src/main/java/juniperusher/http/RelayServer.java
@@ -124,6 +124,7 @@
         var limits = initialConfig.parsedSettings().settings().limits();
         HttpPool pool = new HttpPool(
                 network,
+                HttpPool.Reuse.NEVER,
                 limits.keepAlive() * IDLE_TIME_SHARE,
                 Math.max(MIN_IDLE_CONNECTION_LIMIT, (int) (initialConfig.maxDescriptors() * IDLE_DESCRIPTOR_SHARE)),
                 new UnexpectedInputLog(counters));
--- a/src/main/java/juniperusher/http/UnexpectedInputLog.java
+++ b/src/main/java/juniperusher/http/UnexpectedInputLog.java
@@ -1,6 +1,7 @@
 package juniperusher.http;
 
 import java.net.SocketAddress;
+import java.nio.ByteBuffer;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
@@ -16,6 +17,7 @@
 final class UnexpectedInputLog implements UnexpectedInputListener {
     private static final Logger LOG = LoggerFactory.getLogger(UnexpectedInputLog.class);
     private static final long LOG_INTERVAL_SECONDS = 1;
+    private static final int HEAD_BYTES = 40;
     private static final int MAX_PEERS = 4_096; // then all are forgotten, so that addresses cannot pile up
 
     private final Counters counters;
@@ -44,7 +46,7 @@
     }
 
     @Override
-    public void unexpectedInput(SocketAddress peer, Reason reason, int bytes, String head) {
+    public void unexpectedInput(SocketAddress peer, Reason reason, ByteBuffer bytes) {
         counters.add("unexpected_input_total", "reason", reason.label());
         String name = String.valueOf(peer);
         if (reportsByPeer.size() >= MAX_PEERS) {
@@ -56,10 +58,20 @@
             LOG.atWarn()
                     .addKeyValue("endpoint", name)
                     .addKeyValue("reason", reason.label())
-                    .addKeyValue("bytes", bytes)
-                    .addKeyValue("head", head)
+                    .addKeyValue("bytes", bytes.remaining())
+                    .addKeyValue("head", printableHead(bytes))
                     .addKeyValue("reports", reports)
                     .log("input that belongs to no call");
         }
     }
+
+    /** The first characters of the input, with an underscore for each that is not printable. */
+    private static String printableHead(ByteBuffer bytes) {
+        StringBuilder head = new StringBuilder();
+        for (int i = 0; i < Math.min(HEAD_BYTES, bytes.remaining()); i++) {
+            char character = (char) bytes.get(bytes.position() + i);
+            head.append(character > ' ' && character < 127 ? character : '_');
+        }
+        return head.toString();
+    }
 }
--- a/src/main/java/juniperusher/lab/sockets/Client.java
+++ b/src/main/java/juniperusher/lab/sockets/Client.java
@@ -8,10 +8,12 @@
 import juniperusher.net.HttpMessage;
 import juniperusher.net.HttpPool;
 import juniperusher.net.Network;
+import juniperusher.net.UnexpectedInputListener;
 
 /** Hands messages in to relays as their clients do: an answer within 400 ms, or the connection is closed. */
 final class Client {
     private static final long PATIENCE = 400; // ms
+    private static final double IDLE_TIMEOUT_SECONDS = 1.5; // below a relay's idle time of 2 s
 
     private final Network network;
     private final HttpPool pool;
@@ -30,7 +32,8 @@
 
     Client(Network network, int connections) {
         this.network = network;
-        pool = new HttpPool(network, 1.5, connections); // s, below a relay's idle time of 2 s
+        pool = new HttpPool(
+                network, HttpPool.Reuse.TRUSTED_PEER, IDLE_TIMEOUT_SECONDS, connections, UnexpectedInputListener.NONE);
     }
 
     /**
--- a/src/main/java/juniperusher/lab/sockets/Forwarder.java
+++ b/src/main/java/juniperusher/lab/sockets/Forwarder.java
@@ -6,6 +6,7 @@
 import juniperusher.net.HttpPool;
 import juniperusher.net.HttpServerConnection;
 import juniperusher.net.Network;
+import juniperusher.net.UnexpectedInputListener;
 
 /**
  * A bare forwarder of the parts that a relay's HTTP/1.1 is made of, and of nothing else: no decisions, no
@@ -27,7 +28,9 @@
     public static void main(String[] arguments) throws Exception {
         InetSocketAddress listen = Ports.address(arguments[0]);
         Network network = new Network(1);
-        Forwarder forwarder = new Forwarder(new HttpPool(network, 5, 400), Ports.address(arguments[1]));
+        Forwarder forwarder = new Forwarder(
+                new HttpPool(network, HttpPool.Reuse.TRUSTED_PEER, 5, 400, UnexpectedInputListener.NONE),
+                Ports.address(arguments[1]));
         network.listen(listen, endPoint -> new HttpServerConnection(endPoint, network, MOST_BODY, forwarder));
         Thread.currentThread().join();
     }
--- a/src/main/java/juniperusher/net/HttpClientConnection.java
+++ b/src/main/java/juniperusher/net/HttpClientConnection.java
@@ -1,18 +1,11 @@
 package juniperusher.net;
 
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.channels.WritePendingException;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import juniperusher.core.CallEnd;
-import org.eclipse.jetty.http.HttpException;
-import org.eclipse.jetty.http.HttpField;
-import org.eclipse.jetty.http.HttpFields;
-import org.eclipse.jetty.http.HttpHeader;
-import org.eclipse.jetty.http.HttpParser;
-import org.eclipse.jetty.http.HttpVersion;
 import org.eclipse.jetty.io.AbstractConnection;
 import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.util.BufferUtil;
@@ -21,35 +14,28 @@
 
 /**
  * The client side of an HTTP/1.1 connection, with one exchange at a time. A response that cannot be parsed, does
- * not end or is too long ends its exchange as {@link CallEnd#SPOILT}, and the connection is closed at once. Bytes
- * that follow a valid response do not affect that response; the connection is then closed, so that they are never
- * parsed as the response to the next call.
+ * not end or is too long ends its exchange as {@link CallEnd#SPOILT}, and the connection is closed at once.
+ *
+ * <p>Nothing in a response of HTTP/1.1 names its request. On a connection's first exchange the response can only belong
+ * to that one; on a later one it may as well be stray input from before, such as a second copy of an earlier response.
+ * {@link HttpPool.Reuse} decides whether there are later ones. A response that starts before its request is written
+ * completely is not taken for a response.
  *
  * <p>Input is processed under the connection's lock. Exchanges are completed outside of it, since their listeners
  * may use other connections.
  */
-final class HttpClientConnection extends AbstractConnection implements HttpParser.ResponseHandler {
+final class HttpClientConnection extends AbstractConnection {
     private static final int INPUT_BUFFER_BYTES = 4 * 1024;
-    private static final int MAX_HEAD_BYTES = 16 * 1024;
-    private static final int MAX_INTERIM_RESPONSES = 16; // 1xx responses before the final one
     private static final long RESPONSE_TIMEOUT_MILLIS = 500; // from the first byte of a response to its last
     // Idle time after which a connection whose output is shut down is closed.
     private static final long LINGER_IDLE_TIMEOUT_MILLIS = 1_000;
     private static final int MAX_DISCARDED_BYTES = 1 << 20; // read and discarded after the output is shut down
-    private static final int REPORTED_HEAD_BYTES = 40; // of input that belongs to no exchange
 
     private final Network network;
     private final HttpPool pool;
-    private final HttpParser parser = new HttpParser(this, MAX_HEAD_BYTES);
+    private final HttpResponseReader reader = new HttpResponseReader();
     private final ByteBuffer input = BufferUtil.allocate(INPUT_BUFFER_BYTES);
     private final Consumer<HttpClientConnection> onOpened;
-    private HttpFields.Mutable fields = HttpFields.build();
-    private ByteArrayOutputStream body = new ByteArrayOutputStream();
-    private int status;
-    private int interimResponses;
-    private boolean responseComplete;
-    private boolean responseInvalid;
-    private boolean keepAlive = true;
     private volatile HttpPool.Exchange currentExchange;
     private volatile boolean closed;
     private volatile boolean lingering; // the output is shut down, further input is discarded
@@ -57,8 +43,17 @@
     private volatile long idleSinceNanos;
     private Scheduler.Task responseTimeout;
     private boolean requestWriteInProgress; // neither callback of the request's write has run yet
+    private boolean writeReturned; // the write of the request has returned to its caller
+    private boolean writeFailed; // before the write returned
     private HttpPool.Exchange answeredBeforeWriteEnd; // exchange whose response came while the write was in progress
 
+    /** What a look for input without an exchange has found. */
+    private enum InputState {
+        NONE,
+        BYTES,
+        ENDED
+    }
+
     HttpClientConnection(EndPoint endPoint, Network network, HttpPool pool, Consumer<HttpClientConnection> onOpened) {
         super(endPoint, network.threads());
         this.network = network;
@@ -79,40 +74,35 @@
         onOpened.accept(this);
     }
 
-    /** Whether the connection is usable and no input has arrived since the last response. Checked before reuse. */
+    /** Whether the connection is usable and no input has arrived since it was last used. Checked before reuse. */
     synchronized boolean hasNoInput() {
-        return hasNoInput(UnexpectedInputListener.Reason.WHILE_IDLE);
+        return lookForInput(UnexpectedInputListener.Reason.WHILE_IDLE) == InputState.NONE;
     }
 
-    private boolean hasNoInput(UnexpectedInputListener.Reason reasonOfInput) {
+    /** Looks for input that belongs to no exchange, and reports it. Needs the lock. */
+    private InputState lookForInput(UnexpectedInputListener.Reason reason) {
         try {
-            boolean noInput =
-                    isUsable() && !input.hasRemaining() && getEndPoint().fill(input) == 0;
-            reportUnexpected(input, reasonOfInput);
-            return noInput;
+            if (!input.hasRemaining() && isUsable() && getEndPoint().fill(input) < 0) {
+                return InputState.ENDED;
+            }
         } catch (IOException e) {
-            return false;
+            return InputState.ENDED;
         }
-    }
-
-    /** Reports the remaining bytes of the buffer, if there are any, as input that belongs to no exchange. */
-    private void reportUnexpected(ByteBuffer bytes, UnexpectedInputListener.Reason reason) {
-        if (bytes.hasRemaining()) {
-            pool.unexpectedInput()
-                    .unexpectedInput(
-                            getEndPoint().getRemoteSocketAddress(), reason, bytes.remaining(), printableHead(bytes));
+        if (input.hasRemaining()) {
+            reportUnexpected(reason);
+            return InputState.BYTES;
         }
+        return isUsable() ? InputState.NONE : InputState.ENDED;
     }
 
-    private static String printableHead(ByteBuffer bytes) {
-        StringBuilder head = new StringBuilder();
-        for (int i = 0; i < Math.min(REPORTED_HEAD_BYTES, bytes.remaining()); i++) {
-            char character = (char) bytes.get(bytes.position() + i);
-            head.append(character > ' ' && character < 127 ? character : '_');
+    private void reportUnexpected(UnexpectedInputListener.Reason reason) {
+        if (input.hasRemaining()) {
+            pool.unexpectedInput().unexpectedInput(getEndPoint().getRemoteSocketAddress(), reason, input);
         }
-        return head.toString();
     }
 
+    // ---- writing ----
+
     /**
      * Writes the exchange's request. From here on its last byte may have been sent, unless the failed write reports
      * that bytes remain. Returns the connection to the pool if the exchange has ended meanwhile.
@@ -124,23 +114,41 @@
             pool.release(next, this);
             return;
         }
-        synchronized (this) {
-            requestWriteInProgress = true;
+        if (!write(next, request)) {
+            fail(CallEnd.BROKEN);
         }
+    }
+
+    /** Starts to write the request. Returns false if the connection cannot be used any more. */
+    private synchronized boolean write(HttpPool.Exchange next, ByteBuffer request) {
+        if (lookForInput(UnexpectedInputListener.Reason.BEFORE_REQUEST) != InputState.NONE) {
+            next.requestNotFullyWritten();
+            return false;
+        }
+        reader.begin(next);
+        requestWriteInProgress = true;
+        writeReturned = false;
         try {
-            getEndPoint()
-                    .write(
-                            Callback.from(this::requestWritten, failure -> {
-                                if (request.hasRemaining()) {
-                                    next.requestNotFullyWritten();
-                                }
-                                fail(CallEnd.BROKEN);
-                            }),
-                            request);
+            getEndPoint().write(Callback.from(this::requestWritten, failure -> writeFailed(next, request)), request);
         } catch (WritePendingException e) {
             next.requestNotFullyWritten(); // no byte was written
-            fail(CallEnd.BROKEN);
+            return false;
+        }
+        writeReturned = true;
+        return !writeFailed;
+    }
+
+    private void writeFailed(HttpPool.Exchange failed, ByteBuffer request) {
+        if (request.hasRemaining()) {
+            failed.requestNotFullyWritten();
+        }
+        synchronized (this) {
+            if (!writeReturned) {
+                writeFailed = true; // write() reports it, outside of the lock
+                return;
+            }
         }
+        fail(CallEnd.BROKEN);
     }
 
     /**
@@ -160,6 +168,13 @@
         }
     }
 
+    /** Whether a part of the request still waits for room in the socket's buffer, so that nothing can answer it. */
+    private boolean isRequestPartlyWritten() {
+        return requestWriteInProgress && writeReturned;
+    }
+
+    // ---- idle connections ----
+
     void setIdleSinceNanos(long nanoTime) {
         idleSinceNanos = nanoTime;
     }
@@ -195,22 +210,13 @@
         getEndPoint().shutdownOutput();
     }
 
-    @Override
-    public void onFillable() {
-        if (lingering) {
-            discardInput();
-        } else {
-            read(true);
-        }
-    }
-
     private void discardInput() {
         try {
             while (true) {
                 BufferUtil.clear(input);
                 int n = getEndPoint().fill(input);
                 discardedBytes += Math.max(0, n);
-                reportUnexpected(input, UnexpectedInputListener.Reason.AFTER_SHUTDOWN);
+                reportUnexpected(UnexpectedInputListener.Reason.AFTER_SHUTDOWN);
                 if (n < 0 || discardedBytes > MAX_DISCARDED_BYTES) {
                     close();
                     return;
@@ -225,6 +231,17 @@
         }
     }
 
+    // ---- reading ----
+
+    @Override
+    public void onFillable() {
+        if (lingering) {
+            discardInput();
+        } else {
+            read(true);
+        }
+    }
+
     /** Reads input that the selector has not processed yet. The registered read interest does not change. */
     void poll() {
         read(false);
@@ -250,10 +267,7 @@
                 if (!input.hasRemaining()) {
                     int n = getEndPoint().fill(input);
                     if (n < 0) {
-                        parser.atEOF();
-                        parser.parseNext(BufferUtil.EMPTY_BUFFER);
-                        keepAlive = false;
-                        return responseComplete ? completeExchange(fromSelector) : () -> fail(CallEnd.BROKEN);
+                        return processEndOfInput(fromSelector);
                     }
                     if (n == 0) {
                         scheduleResponseTimeout();
@@ -264,29 +278,20 @@
                     }
                 }
                 if (currentExchange == null) {
-                    reportUnexpected(input, UnexpectedInputListener.Reason.WHILE_IDLE);
-                    closed = true; // input without a request in flight
-                    lingering = true;
-                    return () -> {
-                        pool.remove(this);
-                        startLingering();
-                        if (fromSelector) {
-                            discardInput(); // after a poll the read interest is still registered
-                        }
-                    };
+                    return processUnexpectedInput(fromSelector);
                 }
-                int before = input.remaining();
-                boolean parserStopped = parser.parseNext(input) || input.remaining() == before;
-                if (responseComplete
-                        && !responseInvalid
-                        && status < 200
-                        && status != 101
-                        && ++interimResponses <= MAX_INTERIM_RESPONSES) {
-                    resetParser(); // an interim response; the final one follows
-                } else if (responseComplete && !responseInvalid && status >= 200) {
-                    return completeExchange(fromSelector);
-                } else if (responseInvalid || parserStopped) {
-                    return () -> fail(CallEnd.SPOILT);
+                if (isRequestPartlyWritten()) {
+                    reportUnexpected(UnexpectedInputListener.Reason.BEFORE_REQUEST_END);
+                    return this::closeBeforeRequestEnd;
+                }
+                switch (reader.read(input)) {
+                    case COMPLETE -> {
+                        return completeExchange(fromSelector);
+                    }
+                    case INVALID -> {
+                        return () -> fail(CallEnd.SPOILT);
+                    }
+                    default -> {}
                 }
             }
             return lingering && fromSelector ? this::discardInput : null;
@@ -295,9 +300,33 @@
         }
     }
 
+    private Runnable processEndOfInput(boolean fromSelector) {
+        boolean complete = currentExchange != null && !isRequestPartlyWritten() && reader.endOfInput();
+        return complete ? completeExchange(fromSelector) : () -> fail(CallEnd.BROKEN);
+    }
+
+    private Runnable processUnexpectedInput(boolean fromSelector) {
+        reportUnexpected(UnexpectedInputListener.Reason.WHILE_IDLE);
+        closed = true;
+        lingering = true;
+        return () -> {
+            pool.remove(this);
+            startLingering();
+            if (fromSelector) {
+                discardInput(); // after a poll the read interest is still registered
+            }
+        };
+    }
+
+    /** The endpoint runs a call only after its last byte, which the close keeps back. */
+    private void closeBeforeRequestEnd() {
+        getEndPoint().close(); // fails the pending write, which tells that bytes remain
+        fail(CallEnd.BROKEN);
+    }
+
     private void scheduleResponseTimeout() {
         HttpPool.Exchange current = currentExchange;
-        if (current != null && responseTimeout == null && !parser.isStart() && !current.hasUnboundedResponse()) {
+        if (current != null && responseTimeout == null && reader.hasStarted() && !current.hasUnboundedResponse()) {
             responseTimeout = network.scheduler()
                     .schedule(
                             () -> {
@@ -310,40 +339,30 @@
         }
     }
 
-    private void resetParser() {
-        responseComplete = false;
-        fields = HttpFields.build();
-        body = new ByteArrayOutputStream();
-        parser.reset();
-    }
-
     private Runnable completeExchange(boolean fromSelector) {
         HttpPool.Exchange completed = currentExchange;
-        HttpMessage response = new HttpMessage(Integer.toString(status), fields.asImmutable(), body.toByteArray());
+        HttpMessage response = reader.response();
         if (responseTimeout != null) {
             responseTimeout.cancel();
             responseTimeout = null;
         }
         currentExchange = null;
-        interimResponses = 0;
-        resetParser();
-        boolean reuse = hasNoInput(UnexpectedInputListener.Reason.BEHIND_RESPONSE) && keepAlive;
-        if (reuse && fromSelector) {
-            fillInterested();
-        }
+        InputState behind = lookForInput(UnexpectedInputListener.Reason.BEHIND_RESPONSE);
+        boolean reuse = pool.reusesConnections() && reader.keepsConnection() && behind == InputState.NONE;
         if (!reuse) {
             closed = true;
             lingering = true;
             startLingering();
-            if (fromSelector) {
-                fillInterested();
-            }
+        }
+        if (fromSelector) {
+            fillInterested();
         }
         boolean releaseAfterWrite = reuse && requestWriteInProgress;
         if (releaseAfterWrite) {
             answeredBeforeWriteEnd = completed;
         }
-        return completed == null ? null : () -> completed.answered(response, reuse && !releaseAfterWrite ? this : null);
+        HttpClientConnection reusable = reuse && !releaseAfterWrite ? this : null;
+        return completed == null ? null : () -> completed.answered(response, behind == InputState.BYTES, reusable);
     }
 
     /** Closes the connection and ends the exchange on it, if there is one, with {@code end}. */
@@ -364,62 +383,4 @@
         closed = true;
         pool.remove(this);
     }
-
-    // ---- callbacks of the parser ----
-
-    @Override
-    public void startResponse(HttpVersion version, int code, String reason) {
-        status = code;
-        keepAlive = version == HttpVersion.HTTP_1_1;
-        HttpPool.Exchange current = currentExchange;
-        if (current != null && code >= 200) {
-            current.statusLineReceived(code);
-        }
-    }
-
-    @Override
-    public void parsedHeader(HttpField field) {
-        fields.add(field);
-        keepAlive &= field.getHeader() != HttpHeader.CONNECTION || !field.contains("close");
-    }
-
-    @Override
-    public boolean headerComplete() {
-        HttpPool.Exchange current = currentExchange;
-        responseInvalid |= current != null && parser.getContentLength() > current.maxResponseBytes();
-        return responseInvalid;
-    }
-
-    @Override
-    public boolean content(ByteBuffer content) {
-        byte[] bytes = new byte[content.remaining()];
-        content.get(bytes);
-        HttpPool.Exchange current = currentExchange;
-        if (current != null && !current.consume(status, bytes)) {
-            body.writeBytes(bytes);
-            responseInvalid |= body.size() > current.maxResponseBytes();
-        }
-        return responseInvalid;
-    }
-
-    @Override
-    public boolean contentComplete() {
-        return false;
-    }
-
-    @Override
-    public boolean messageComplete() {
-        responseComplete = true;
-        return true;
-    }
-
-    @Override
-    public void earlyEOF() {
-        keepAlive = false; // processInput() handles the end of the input itself
-    }
-
-    @Override
-    public void badMessage(HttpException failure) {
-        responseInvalid = true;
-    }
 }
--- a/src/main/java/juniperusher/net/HttpPool.java
+++ b/src/main/java/juniperusher/net/HttpPool.java
@@ -13,15 +13,16 @@
 import org.eclipse.jetty.io.EndPoint;
 
 /**
- * Client for HTTP/1.1 exchanges with a pool of idle connections; the most recently used one is reused first. The
- * idle timeout has to be shorter than the server's, since a request written to a connection that the server is
- * closing ends with a reset. The pool never repeats a request. All methods are thread-safe.
+ * Client for HTTP/1.1 exchanges with a pool of idle connections. {@link Reuse} decides whether a connection carries more
+ * than one exchange. The idle timeout has to be shorter than the server's, since a request written to a connection that
+ * the server is closing ends with a reset. The pool never repeats a request. All methods are thread-safe.
  */
 public final class HttpPool {
     // Bodies of messages have at most 64 KiB; this allows longer responses.
     private static final long MAX_RESPONSE_BYTES = 256 * 1024;
 
     private final Network network;
+    private final Reuse reuse;
     private final long idleTimeoutNanos;
     private final int maxIdle;
     private final UnexpectedInputListener unexpectedInput;
@@ -31,20 +32,41 @@
     /** The peer of a connection. The owner is part of it, because another endpoint may take over an address. */
     private record ConnectionKey(InetSocketAddress address, int owner) {}
 
-    /** Creates a pool that keeps at most {@code maxIdle} idle connections, each for {@code idleTimeoutSeconds}. */
+    /** Whether a connection is used again after a response. */
+    public enum Reuse {
+        /** Each connection carries one exchange, so that nothing but its response can be taken for its response. */
+        NEVER,
+        /** The peer is trusted to send nothing but one response to each request. */
+        TRUSTED_PEER
+    }
+
+    /** Creates a pool without reuse that keeps at most {@code maxIdle} unused connections. */
     public HttpPool(Network network, double idleTimeoutSeconds, int maxIdle) {
-        this(network, idleTimeoutSeconds, maxIdle, UnexpectedInputListener.NONE);
+        this(network, Reuse.NEVER, idleTimeoutSeconds, maxIdle, UnexpectedInputListener.NONE);
     }
 
-    /** Creates a pool that also reports input that belongs to no exchange. */
-    public HttpPool(Network network, double idleTimeoutSeconds, int maxIdle, UnexpectedInputListener unexpectedInput) {
+    /**
+     * Creates a pool that keeps at most {@code maxIdle} idle connections, each for {@code idleTimeoutSeconds}, and
+     * reports input that belongs to no exchange.
+     */
+    public HttpPool(
+            Network network,
+            Reuse reuse,
+            double idleTimeoutSeconds,
+            int maxIdle,
+            UnexpectedInputListener unexpectedInput) {
         this.network = network;
+        this.reuse = reuse;
         this.maxIdle = maxIdle;
         this.unexpectedInput = unexpectedInput;
         idleTimeoutNanos = (long) (idleTimeoutSeconds * 1e9);
         closeExpired();
     }
 
+    boolean reusesConnections() {
+        return reuse != Reuse.NEVER;
+    }
+
     /**
      * Receives the result of an exchange: exactly one call of {@link #answered} or {@link #ended}. Calls may come on
      * any thread, including the one that starts the exchange, and must not block.
@@ -53,6 +75,14 @@
         /** The whole response has been received. */
         void answered(HttpMessage response);
 
+        /**
+         * The whole response has been received, and further bytes behind it. One of the two may have come unasked, so
+         * that the response does not prove what the peer did with the request.
+         */
+        default void answeredWithStrayInput(HttpMessage response) {
+            answered(response);
+        }
+
         /**
          * The exchange ended without a complete response. {@code statusLineCode} is the status code of the response's
          * status line, or 0 if that line did not arrive.
@@ -274,7 +304,7 @@
             return listener.consume(status, piece);
         }
 
-        void answered(HttpMessage response, HttpClientConnection reusable) {
+        void answered(HttpMessage response, boolean strayInput, HttpClientConnection reusable) {
             synchronized (this) {
                 if (finished) {
                     return; // abandoned meanwhile, which also closed the connection
@@ -284,7 +314,11 @@
             if (reusable != null) {
                 addIdle(key, reusable);
             }
-            listener.answered(response);
+            if (strayInput) {
+                listener.answeredWithStrayInput(response);
+            } else {
+                listener.answered(response);
+            }
         }
 
         void ended(CallEnd why) {
--- a/src/main/java/juniperusher/net/UnexpectedInputListener.java
+++ b/src/main/java/juniperusher/net/UnexpectedInputListener.java
@@ -1,18 +1,23 @@
 package juniperusher.net;
 
 import java.net.SocketAddress;
+import java.nio.ByteBuffer;
 import java.util.Locale;
 
 /**
  * Receives a report of each piece of input on an outbound connection that belongs to no exchange, such as a second copy
- * of a response. Implementations must be thread-safe and must not block.
+ * of a response. Implementations must be thread-safe, must not block and must not change the buffer.
  */
 public interface UnexpectedInputListener {
     /** Ignores all reports. */
-    UnexpectedInputListener NONE = (peer, reason, bytes, head) -> {};
+    UnexpectedInputListener NONE = (peer, reason, bytes) -> {};
 
     /** Where the input was found. */
     enum Reason {
+        /** Before the first byte of a request was written. */
+        BEFORE_REQUEST,
+        /** While a part of the request was still to be written. */
+        BEFORE_REQUEST_END,
         /** Directly behind a complete response. */
         BEHIND_RESPONSE,
         /** On a connection without a request in flight. */
@@ -30,8 +35,7 @@
      * Input has arrived that belongs to no exchange.
      *
      * @param peer the address of the peer, or null if it is no longer known
-     * @param bytes size of the input in bytes
-     * @param head the first characters of the input, with non-printable characters replaced
+     * @param bytes the input, valid during the call only
      */
-    void unexpectedInput(SocketAddress peer, Reason reason, int bytes, String head);
+    void unexpectedInput(SocketAddress peer, Reason reason, ByteBuffer bytes);
 }
--- a/src/test/java/juniperusher/net/EarlyAnswerTest.java
+++ b/src/test/java/juniperusher/net/EarlyAnswerTest.java
@@ -38,10 +38,13 @@
         @Override
         public void connect(InetSocketAddress address, ConnectListener listener) {
             ByteArrayEndPoint endPoint = new ByteArrayEndPoint(scheduler(), 0) {
+                private boolean responded;
+
                 @Override
                 public boolean flush(ByteBuffer... buffers) throws IOException {
                     boolean all = super.flush(buffers);
                     if (all && takeOutputString(StandardCharsets.US_ASCII).endsWith("\r\n\r\n")) {
+                        responded = true;
                         addInput("HTTP/1.1 204 No Content\r\n\r\n");
                     }
                     return all;
@@ -50,7 +53,7 @@
                 @Override
                 public int fill(ByteBuffer buffer) throws IOException {
                     int read = super.fill(buffer);
-                    if (read == 0 && resetAfterResponse && !opened.isEmpty()) {
+                    if (read == 0 && resetAfterResponse && responded) {
                         throw new IOException("Connection reset by peer");
                     }
                     return read;
@@ -73,7 +76,7 @@
     @Test
     public void connectionIsReusedOnlyOnceItsWriteHasCompleted() throws Exception {
         try (RespondsDuringWriteNetwork network = new RespondsDuringWriteNetwork(false)) {
-            HttpPool pool = new HttpPool(network, 10, 8);
+            HttpPool pool = reusingPool(network);
             List<String> ends = new ArrayList<>();
             CountDownLatch done = new CountDownLatch(1);
             runExchanges(pool, ends, done);
@@ -93,12 +96,16 @@
     public void completeAnswerCountsDespiteResetAfterIt() throws Exception {
         try (RespondsDuringWriteNetwork network = new RespondsDuringWriteNetwork(true)) {
             List<String> ends = new ArrayList<>();
-            runExchanges(new HttpPool(network, 10, 8), ends, new CountDownLatch(1));
+            runExchanges(reusingPool(network), ends, new CountDownLatch(1));
             assertEquals(ends, java.util.Collections.nCopies(EXCHANGES, "204"));
             assertEquals(network.opened.size(), EXCHANGES, "connections that were reset are not reused");
         }
     }
 
+    private static HttpPool reusingPool(Network network) {
+        return new HttpPool(network, HttpPool.Reuse.TRUSTED_PEER, 10, 8, UnexpectedInputListener.NONE);
+    }
+
     private static void runExchanges(HttpPool pool, List<String> ends, CountDownLatch done) {
         pool.exchange(
                 ADDRESS,
