A broker's confirm counts only for the publish that it names, a return only for its message

A broker that repeats a confirm for all that is unconfirmed (tag 0), or sends one ahead of the publish, had the next order of that channel counted as delivered, or as given up; a return that was repeated made the next order of its channel count as never run, so that it was published again after its delivery.

Cause: BrokerConnection.onConfirm took tag 0 and tags above the last publish for the order on the channel, also before that order was written, and a return for whichever order was on the channel, without a look at the message it carries.

Change: a confirm ends the order only if it is written and the tag is its own; earlier tags are ignored; any other ends it as may have run and closes the channel. A return counts for the order whose id its content header carries. A channel with a return is closed, so that the return cannot meet a second publish of the same message. What belongs to no order is logged and counted (juniperusher_unexpected_input_total, reasons confirm and return).

--- a/src/main/java/juniperusher/amqp/AmqpExtension.java
+++ b/src/main/java/juniperusher/amqp/AmqpExtension.java
@@ -5,6 +5,7 @@
 import juniperusher.Protocol.DestinationKind;
 import juniperusher.Protocol.Settings;
 import juniperusher.Protocol.Target;
+import juniperusher.core.Counters;
 import juniperusher.core.Extension;
 import juniperusher.core.Relay;
 import juniperusher.core.Subchannels;
@@ -27,13 +28,15 @@
      * @param classNames names of the message classes, in the order of the settings
      * @param settings   settings of the relay
      * @param network    network that connections use
+     * @param counters   counts input of brokers that belongs to no order
      */
-    public AmqpExtension(AmqpConfig config, List<String> classNames, Settings settings, Network network) {
+    public AmqpExtension(
+            AmqpConfig config, List<String> classNames, Settings settings, Network network, Counters counters) {
         this.config = config;
         this.classNames = classNames;
         this.settings = settings;
         this.network = network;
-        subchannels = new AmqpSubchannels(config, network);
+        subchannels = new AmqpSubchannels(config, network, counters);
     }
 
     @Override
--- a/src/main/java/juniperusher/amqp/AmqpSubchannels.java
+++ b/src/main/java/juniperusher/amqp/AmqpSubchannels.java
@@ -10,6 +10,7 @@
 import juniperusher.clock.SteadyClock;
 import juniperusher.core.CallEnd;
 import juniperusher.core.CallResult;
+import juniperusher.core.Counters;
 import juniperusher.core.RpcRequest;
 import juniperusher.core.Subchannels;
 import juniperusher.net.Network;
@@ -25,12 +26,14 @@
     public static final int FIRST_TARGET_ID = 1 << 24;
 
     private final Network network;
+    private final Counters counters;
     private final List<AmqpConfig.Broker> brokers;
     private final Map<Integer, BrokerConnector> connectors = new HashMap<>();
 
     /** Creates the subchannels for the configured brokers; connections are opened when first needed. */
-    public AmqpSubchannels(AmqpConfig config, Network network) {
+    public AmqpSubchannels(AmqpConfig config, Network network, Counters counters) {
         this.network = network;
+        this.counters = counters;
         brokers = config.brokers();
         for (int i = 0; i < brokers.size(); i++) {
             connectors.put(FIRST_TARGET_ID + i, new BrokerConnector(brokers.get(i)));
@@ -119,6 +122,11 @@
             return new Content("", "", "", Long.toString(remainingMillis), rpc.id(), "", rpc.body());
         }
 
+        /** Whether this is the order of the RPC with that id. */
+        boolean isOf(String id) {
+            return rpc.id().equals(id);
+        }
+
         /** Records the connection that publishes the order; returns false if the order has finished. */
         synchronized boolean attach(BrokerConnection newConnection) {
             connection = newConnection;
@@ -223,7 +231,7 @@
 
         @Override
         public Connection connected(EndPoint endPoint) {
-            return new BrokerConnection(endPoint, network, broker, this);
+            return new BrokerConnection(endPoint, network, broker, this, counters);
         }
 
         @Override
--- a/src/main/java/juniperusher/amqp/BrokerConnection.java
+++ b/src/main/java/juniperusher/amqp/BrokerConnection.java
@@ -6,19 +6,24 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import juniperusher.core.CallEnd;
+import juniperusher.core.Counters;
 import juniperusher.net.Network;
 import org.eclipse.jetty.io.EndPoint;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * A connection to a broker, on which orders are published with publisher confirms. Each order in flight has
  * its own channel, so an order can be abandoned by closing its channel without affecting other orders.
  */
 final class BrokerConnection extends AmqpConnection {
+    private static final Logger LOG = LoggerFactory.getLogger(BrokerConnection.class);
     // A broker that takes longer is treated as unreachable.
     private static final double HANDSHAKE_TIMEOUT_SECONDS = 2.0;
 
     private final AmqpConfig.Broker broker;
     private final AmqpSubchannels.BrokerConnector connector;
+    private final Counters counters;
     private final Map<Integer, BrokerChannel> channels = new HashMap<>();
     private final Deque<BrokerChannel> idleChannels = new ArrayDeque<>();
     // Number of the method that the handshake waits for, 0 once it is complete.
@@ -32,8 +37,10 @@
     private static final class BrokerChannel {
         final int number;
         AmqpSubchannels.PendingPublish order;
-        long publishCount;
-        boolean returned;
+        long publishCount; // also the delivery tag of the last publish
+        boolean awaitsConfirm; // the last publish is written and not confirmed yet
+        boolean awaitsReturnedContent; // a return has begun, and its content header tells of which message
+        boolean returned; // the broker returned the order in flight
         boolean closing;
 
         BrokerChannel(int number) {
@@ -42,8 +49,13 @@
     }
 
     BrokerConnection(
-            EndPoint endPoint, Network network, AmqpConfig.Broker broker, AmqpSubchannels.BrokerConnector connector) {
+            EndPoint endPoint,
+            Network network,
+            AmqpConfig.Broker broker,
+            AmqpSubchannels.BrokerConnector connector,
+            Counters counters) {
         super(endPoint, network);
+        this.counters = counters;
         this.broker = broker;
         this.connector = connector;
         network.scheduler()
@@ -91,8 +103,37 @@
             onConnectionMethod(new Method(frame));
         } else if (frame.type() == Frame.METHOD) {
             onChannelMethod(frame.channel(), new Method(frame));
+        } else if (frame.type() == Frame.HEADER) {
+            onReturnedContent(frame);
+        }
+    }
+
+    /** Assigns a return to the order in flight if the content header, which follows the method, names that order. */
+    private void onReturnedContent(Frame header) {
+        synchronized (this) {
+            BrokerChannel channel = channels.get(header.channel());
+            if (channel == null || !channel.awaitsReturnedContent) {
+                return;
+            }
+            channel.awaitsReturnedContent = false;
+            Method fields = new Method(header);
+            fields.u64(); // size of the body
+            String id = Content.readProperties(fields).messageId();
+            if (channel.order != null && channel.awaitsConfirm && channel.order.isOf(id)) {
+                channel.returned = true;
+                return;
+            }
         }
-        // Content frames only follow basic.return; the method alone tells that the order was returned.
+        reportUnexpected(header.channel(), "return");
+    }
+
+    private void reportUnexpected(int channelNumber, String reason) {
+        counters.add("unexpected_input_total", "reason", reason);
+        LOG.atWarn()
+                .addKeyValue("endpoint", broker.address())
+                .addKeyValue("reason", reason)
+                .addKeyValue("channel", channelNumber)
+                .log("input that belongs to no call");
     }
 
     private void onConnectionMethod(Method in) {
@@ -159,9 +200,11 @@
         } else if (number == Method.CONFIRM_SELECT_OK) {
             publishOn(channel);
         } else if (number == Method.RETURN) {
-            channel.returned = true;
+            synchronized (this) {
+                channel.awaitsReturnedContent = true;
+            }
         } else if (number == Method.ACK || number == Method.NACK) {
-            onConfirm(channel, in.u64(), (in.u8() & 1) != 0, number == Method.ACK);
+            onConfirm(channel, in.u64(), number == Method.ACK);
         } else if (number == Method.CHANNEL_CLOSE) {
             int replyCode = in.u16();
             in.shortText();
@@ -179,22 +222,39 @@
         }
     }
 
-    /** Ends the order on the channel if the confirm covers its publish. */
-    private void onConfirm(BrokerChannel channel, long tag, boolean multiple, boolean acknowledged) {
-        AmqpSubchannels.PendingPublish order;
+    /**
+     * Ends the order on the channel if the confirm names its publish. An earlier tag is a repeated confirm. Any other
+     * does not tell which publish it confirms: tag 0 stands for all that are unconfirmed, so that a repeated one would
+     * also cover the next publish. The order may then have run.
+     */
+    private void onConfirm(BrokerChannel channel, long tag, boolean acknowledged) {
+        AmqpSubchannels.PendingPublish order = null;
+        boolean returned;
+        boolean named;
         synchronized (this) {
-            if (tag != channel.publishCount && !(multiple && (tag == 0 || tag > channel.publishCount))) {
-                return;
+            named = channel.awaitsConfirm && tag == channel.publishCount;
+            returned = channel.returned;
+            boolean repeated = tag != 0 && tag <= channel.publishCount && !named;
+            if (!repeated) {
+                order = channel.order;
+                channel.order = null;
+                channel.awaitsConfirm = false;
             }
-            order = channel.order;
-            channel.order = null;
+        }
+        if (!named) {
+            reportUnexpected(channel.number, "confirm");
         }
         if (order == null) {
             return;
         }
         // A nack does not prove that no queue holds the order, so the order may have run.
-        order.finish(!acknowledged ? CallEnd.FAILED : channel.returned ? CallEnd.UNROUTABLE : CallEnd.DELIVERED);
-        release(channel);
+        CallEnd confirmedEnd = !acknowledged ? CallEnd.FAILED : returned ? CallEnd.UNROUTABLE : CallEnd.DELIVERED;
+        order.finish(named ? confirmedEnd : CallEnd.BROKEN);
+        if (named && !returned) {
+            release(channel);
+        } else {
+            close(channel); // a return that is repeated later must not meet another publish of the same message
+        }
     }
 
     // ---- publishing ----
@@ -263,6 +323,7 @@
             }
             synchronized (this) {
                 channel.publishCount++;
+                channel.awaitsConfirm = true;
                 channel.returned = false;
             }
             return true;
@@ -284,18 +345,26 @@
                 if (channel.order == order) {
                     abandoned = channel;
                     channel.order = null;
-                    channel.closing = true;
                 }
             }
         }
         if (abandoned != null) {
-            send(new Method.Writer(Method.CHANNEL_CLOSE)
-                    .u16(200)
-                    .shortText("given up")
-                    .u16(0)
-                    .u16(0)
-                    .methodFrame(abandoned.number));
+            close(abandoned);
+        }
+    }
+
+    /** Closes a channel, which carries no further order. */
+    private void close(BrokerChannel channel) {
+        synchronized (this) {
+            channel.closing = true;
+            idleChannels.remove(channel);
         }
+        send(new Method.Writer(Method.CHANNEL_CLOSE)
+                .u16(200)
+                .shortText("given up")
+                .u16(0)
+                .u16(0)
+                .methodFrame(channel.number));
     }
 
     /** Removes a closed channel and ends the order in flight on it. */
--- a/src/main/java/juniperusher/cli/Main.java
+++ b/src/main/java/juniperusher/cli/Main.java
@@ -161,7 +161,8 @@
                             amqpConfig,
                             config.classNames(),
                             config.parsedSettings().settings(),
-                            network);
+                            network,
+                            counters);
             RelayServer relayServer = new RelayServer(
                     config,
                     stateFolder,
--- a/src/test/java/juniperusher/net/ExchangesTest.java
+++ b/src/test/java/juniperusher/net/ExchangesTest.java
@@ -69,16 +69,18 @@
             Files.writeString(folder.resolve("relay.json"), json.toString());
             Config config = Config.read(folder.resolve("relay.json"));
             Network network = new Network(1);
+            Counters counters = new Counters();
             try (RelayServer relayServer = new RelayServer(
                     config,
                     folder.resolve("state"),
-                    new Counters(),
+                    counters,
                     network,
                     new AmqpExtension(
                             AmqpConfig.fromTable(front),
                             config.classNames(),
                             config.parsedSettings().settings(),
-                            network))) {
+                            network,
+                            counters))) {
                 player.play(file);
             }
         }
