A call whose connection comes up late opens a further one; late connections serve next calls

Cause: a call waited for the one connection it had opened, up to 1.5 s; before, most calls met one that was open.

Change: ConnectQueue hands the connection that is established first to the call that has waited longest. A call to an endpoint opens a further one after 50 and 100 ms without one; what comes up later is kept unused for the next call, within the pool's bound. The failure of a call's own attempt ends it as before, so that a refused connection is told at once. Probes, status reports and discovery do not hedge.

Why it is safe: a kept connection has carried nothing.

ConnectQueueTest passes.

--- a/src/main/java/juniperusher/http/HttpSubchannels.java
+++ b/src/main/java/juniperusher/http/HttpSubchannels.java
@@ -77,6 +77,11 @@
                         }
                     }
 
+                    @Override
+                    public boolean mayHedgeConnect() {
+                        return true;
+                    }
+
                     @Override
                     public void answered(HttpMessage response) {
                         reportResults(response, callEnds(response, rpcs));
--- a/src/main/java/juniperusher/net/HttpPool.java
+++ b/src/main/java/juniperusher/net/HttpPool.java
@@ -9,8 +9,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import juniperusher.core.CallEnd;
-import org.eclipse.jetty.io.Connection;
-import org.eclipse.jetty.io.EndPoint;
 
 /**
  * Client for HTTP/1.1 exchanges with a pool of idle connections. {@link Reuse} decides whether a connection carries more
@@ -26,11 +24,12 @@
     private final long idleTimeoutNanos;
     private final int maxIdle;
     private final UnexpectedInputListener unexpectedInput;
+    private final ConnectQueue connectQueue;
     private final Map<ConnectionKey, Deque<HttpClientConnection>> idleByKey = new HashMap<>();
     private int idleCount;
 
     /** The peer of a connection. The owner is part of it, because another endpoint may take over an address. */
-    private record ConnectionKey(InetSocketAddress address, int owner) {}
+    record ConnectionKey(InetSocketAddress address, int owner) {}
 
     /** Whether a connection is used again after a response. */
     public enum Reuse {
@@ -60,6 +59,7 @@
         this.maxIdle = maxIdle;
         this.unexpectedInput = unexpectedInput;
         idleTimeoutNanos = (long) (idleTimeoutSeconds * 1e9);
+        connectQueue = new ConnectQueue(network, this);
         closeExpired();
     }
 
@@ -89,6 +89,11 @@
          */
         void ended(CallEnd end, int statusLineCode);
 
+        /** Whether a further connection may be opened if the first one takes long to be established. */
+        default boolean mayHedgeConnect() {
+            return false;
+        }
+
         /** The first line of the response has arrived with this status code. */
         default void statusReceived(int status) {}
 
@@ -133,7 +138,7 @@
         } else if (!mayStart.getAsBoolean()) {
             exchange.ended(CallEnd.HELD_BACK);
         } else {
-            network.connect(address, exchange);
+            connectQueue.connect(exchange);
         }
         return exchange;
     }
@@ -191,6 +196,11 @@
         addIdle(exchange.key, connection);
     }
 
+    /** Keeps a connection that no exchange waits for any more. */
+    void keepUnused(ConnectionKey key, HttpClientConnection connection) {
+        addIdle(key, connection);
+    }
+
     void remove(HttpClientConnection connection) {
         synchronized (idleByKey) {
             idleByKey.values().forEach(connections -> idleCount -= connections.remove(connection) ? 1 : 0);
@@ -225,7 +235,7 @@
     }
 
     /** One request and its response; ends exactly once. */
-    public final class Exchange implements Network.ConnectListener {
+    public final class Exchange {
         private final ConnectionKey key;
         private final ByteBuffer request;
         private final BooleanSupplier mayStart;
@@ -242,12 +252,19 @@
             this.listener = listener;
         }
 
-        @Override
-        public Connection connected(EndPoint endPoint) {
-            return new HttpClientConnection(endPoint, network, HttpPool.this, this::connected);
+        ConnectionKey key() {
+            return key;
+        }
+
+        boolean mayHedgeConnect() {
+            return listener.mayHedgeConnect();
+        }
+
+        synchronized boolean isFinished() {
+            return finished;
         }
 
-        private void connected(HttpClientConnection established) {
+        void connected(HttpClientConnection established) {
             if (!mayStart.getAsBoolean()) {
                 addIdle(key, established);
                 ended(CallEnd.HELD_BACK);
@@ -256,8 +273,7 @@
             }
         }
 
-        @Override
-        public void failed(Throwable why) {
+        void connectFailed() {
             ended(CallEnd.NOT_CONNECTED);
         }
 
