The ledger of the fault tests sees a safe message sent again after its delivery was read

Change: it passes only where the relay did not read the answer or was killed in between. The endpoint knows that the kernel took the whole answer, with a length that is right and no stray bytes before it on the connection. Whether it was read shows in the kernel's table: a close with unread input resets, and a reset connection is forgotten at once, while one that was closed by processes that had read all stays known for a minute. The supervisor's outages tell of kills.

--- a/src/test/java/juniperusher/faults/EndpointStandIn.java
+++ b/src/test/java/juniperusher/faults/EndpointStandIn.java
@@ -89,7 +89,11 @@
             }
             default -> {
                 ids.forEach(id -> ledger.delivered(id, call));
-                answer(connection, "200 OK", "", shared ? deliveredStates(ids) : "");
+                boolean readable = !connection.hasStrayBytes();
+                readable &= answer(connection, "200 OK", "", shared ? deliveredStates(ids) : "");
+                if (readable) {
+                    ids.forEach(id -> ledger.deliveryAnswered(id, call));
+                }
             }
         }
         return true;
--- a/src/test/java/juniperusher/faults/HttpStandIn.java
+++ b/src/test/java/juniperusher/faults/HttpStandIn.java
@@ -39,14 +39,26 @@
         return server.getLocalPort();
     }
 
+    /** Whether answers are followed by stray bytes now. */
+    boolean sendsStrayBytes() {
+        return strayBytes != StrayBytes.NONE;
+    }
+
     /** Sets what follows the answers from now on. */
     void setStrayBytes(StrayBytes next) {
+        replaceStrayBytes(next);
+    }
+
+    /** Sets what follows the answers from now on, and returns what it replaces. */
+    synchronized StrayBytes replaceStrayBytes(StrayBytes next) {
+        StrayBytes before = strayBytes;
         strayBytes = next;
+        return before;
     }
 
-    /** Writes an answer and what follows it. */
-    void answer(Connection connection, String status, String headers, String body) throws IOException {
-        strayBytes.answer(connection, status, headers, body);
+    /** Writes an answer and what follows it. Returns whether the answer's length is right. */
+    boolean answer(Connection connection, String status, String headers, String body) throws IOException {
+        return strayBytes.answer(connection, status, headers, body);
     }
 
     private void accept() throws IOException {
@@ -105,6 +117,7 @@
     static final class Connection {
         private final Socket socket;
         private final InputStream input;
+        private volatile boolean strayBytes;
 
         Connection(Socket socket) throws IOException {
             this.socket = socket;
@@ -169,6 +182,17 @@
             }
         }
 
+        /** Whether bytes that are no answer may have been written. */
+        boolean hasStrayBytes() {
+            return strayBytes;
+        }
+
+        /** Writes bytes that are no answer. */
+        void writeStray(String text) throws IOException {
+            strayBytes = true;
+            write(text);
+        }
+
         synchronized void write(String text) throws IOException {
             socket.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
         }
--- a/src/test/java/juniperusher/faults/MessageLedger.java
+++ b/src/test/java/juniperusher/faults/MessageLedger.java
@@ -4,8 +4,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
 
 /**
  * Records what clients, endpoints and the platform observe of each message, and checks these rules:
@@ -14,6 +16,8 @@
  *   <li>an accepted message is delivered, or ended by a status report, within its budget;
  *   <li>two attempts of a message are never in flight at the same time;
  *   <li>a message that must not be repeated is never sent again once it may have run;
+ *   <li>a message that may be repeated is not sent again once the relay has read that it is delivered, unless the
+ *       process was killed in between;
  *   <li>a message is not sent once its end is reported, and its end is not reported while a call with it is in
  *       flight.
  * </ul>
@@ -24,6 +28,8 @@
     private static final long NANOS_PER_MILLI = 1_000_000;
     /** Time after a message's deadline in which its end may still come, plus an allowance for a busy test machine. */
     private static final long END_GRACE_NANOS = 300 * NANOS_PER_MILLI + 400 * NANOS_PER_MILLI;
+    /** Time after which the kernel has handled what two processes on this machine have written and closed. */
+    private static final long KERNEL_SETTLE_MILLIS = 200;
     /** Time after a restart in which overdue ends do not count as violations. */
     private static final long RESTART_GRACE_NANOS = 1_500 * NANOS_PER_MILLI;
 
@@ -41,6 +47,9 @@
         TcpConnections.EndPorts currentCall; // connection of the call in flight, or null
         boolean mayHaveRun;
         boolean delivered;
+        TcpConnections.EndPorts deliveredBy; // connection of the call whose answer says so, or null
+        long deliveredNanos;
+        boolean answerSent; // the whole answer is written, with no stray bytes before it on the connection
         long endedNanos; // 0 until the message has ended
         String outcome = "none";
         final List<String> history = new ArrayList<>();
@@ -110,11 +119,31 @@
                     && call.isOpen()) {
                 recordViolation(entry, "two attempts at once");
             }
+            if (!entry.mustNotRepeat && entry.deliveredBy != null && !entry.deliveredBy.equals(call)) {
+                checkRepeatLater(entry, entry.deliveredBy, System.nanoTime());
+            }
             entry.record("call begins");
             entry.currentCall = call;
         }
     }
 
+    /** Whether the relay had read the answer shows in whether the connection was reset, which takes a moment. */
+    private void checkRepeatLater(Entry entry, TcpConnections.EndPorts deliveredBy, long repeatedNanos) {
+        CompletableFuture.delayedExecutor(KERNEL_SETTLE_MILLIS, TimeUnit.MILLISECONDS)
+                .execute(() -> checkRepeat(entry, deliveredBy, repeatedNanos));
+    }
+
+    private void checkRepeat(Entry entry, TcpConnections.EndPorts deliveredBy, long repeatedNanos) {
+        boolean answerRead = deliveredBy.isKnown();
+        synchronized (entry) {
+            boolean killedBetween = outages.stream()
+                    .anyMatch(outage -> outage[0] <= repeatedNanos && outage[1] >= entry.deliveredNanos);
+            if (answerRead && entry.answerSent && !killedBetween) {
+                recordViolation(entry, "sent again though its delivery was read");
+            }
+        }
+    }
+
     /** The call has ended without a delivery. */
     void callEnded(String id, TcpConnections.EndPorts call, boolean mayHaveRun, String how) {
         Entry entry = entry(id);
@@ -132,11 +161,22 @@
             entry.record("call answered: delivered");
             entry.mayHaveRun = true;
             entry.delivered = true;
+            entry.deliveredBy = call;
+            entry.deliveredNanos = System.nanoTime();
+            entry.answerSent = false;
             clearCall(entry, call);
             recordEnd(entry, "delivered");
         }
     }
 
+    /** The kernel has taken the whole answer that the message is delivered, and it can be read as such. */
+    void deliveryAnswered(String id, TcpConnections.EndPorts call) {
+        Entry entry = entry(id);
+        synchronized (entry) {
+            entry.answerSent |= call.equals(entry.deliveredBy);
+        }
+    }
+
     private static void clearCall(Entry entry, TcpConnections.EndPorts call) {
         if (call.equals(entry.currentCall)) {
             entry.currentCall = null;
--- a/src/test/java/juniperusher/faults/StrayBytes.java
+++ b/src/test/java/juniperusher/faults/StrayBytes.java
@@ -64,14 +64,14 @@
         return sent.get();
     }
 
-    /** Writes the answer, and has the stray bytes written after it. */
-    void answer(HttpStandIn.Connection connection, String status, String headers, String body) throws IOException {
+    /** Writes the answer, and has the stray bytes written after it. Returns whether the answer's length is right. */
+    boolean answer(HttpStandIn.Connection connection, String status, String headers, String body) throws IOException {
         String response = HttpStandIn.Connection.response(status, headers, body);
         int delayMillis;
         synchronized (random) {
             if (kind == Kind.NONE || random.nextDouble() >= share) {
                 connection.write(response);
-                return;
+                return true;
             }
             delayMillis = minDelayMillis + random.nextInt(maxDelayMillis - minDelayMillis);
         }
@@ -91,6 +91,7 @@
             }
             default -> answerAndSendLater(connection, response, response, 1, delayMillis);
         }
+        return kind != Kind.LENGTH_BEYOND_BYTES;
     }
 
     private static void answerAndSendLater(
@@ -110,7 +111,7 @@
         TIMERS.schedule(
                 () -> {
                     try {
-                        connection.write(text);
+                        connection.writeStray(text);
                     } catch (IOException e) {
                         return; // the connection has ended meanwhile
                     }
