The soak plays stray bytes, drains and crowds beside the earlier faults

Change: in seven of ten runs copies, refusals, time-out notices or wrong lengths follow a share of the answers of all endpoints, and of the platform, from the start to the end, over restarts, reloads and drains; the platform also resets posts unread. Beside them such bytes come and go as a fault of their own. Endpoints drain by the watch, which sends an older change again while stray bytes are on. Some runs have 200 idle clients, mute or with half a request, all the time. Endpoints refuse one call in twenty with 503, so that copies are of refusals, too.

--- a/src/test/java/juniperusher/faults/FaultSchedule.java
+++ b/src/test/java/juniperusher/faults/FaultSchedule.java
@@ -10,8 +10,12 @@
 /** Random faults from a seed, played on a {@link FaultTestbed} one after the other and some of them concurrently. */
 final class FaultSchedule {
     private static final int IDLE_CLIENTS = 200; // connections per fault
+    private static final double REFUSED_SHARE = 0.05; // so that stray copies are also of refusals
+    private static final double STRAY_RUN_SHARE = 0.7; // of the runs, with stray bytes from their start to their end
+    private static final double CROWD_RUN_SHARE = 0.25; // of the runs, with idle clients from their start to their end
     private static final int STOP_MILLIS = 150; // between SIGSTOP and SIGCONT
     private static final int MAX_SIGNALS = 5; // sent in a row
+    private static final int[] MIN_STRAY_DELAYS_MILLIS = {0, 1, 10, 50, 200, 1_000};
     private static final int[] FOLDER_ERRORS = {FaultShim.ENOSPC, FaultShim.EIO};
     private static final int[] ACCEPT_ERRORS = {FaultShim.ENFILE, FaultShim.EMFILE};
     private static final int[] CLOCK_STEPS_SECONDS = {10, -10, 3_600, -3_600};
@@ -36,8 +40,40 @@
         return played;
     }
 
-    /** Plays this number of faults, with one restart at a random position among them. */
+    /**
+     * Plays this number of faults, with one restart at a random position among them. In some runs stray bytes follow the
+     * answers, or idle clients hold connections, all the time.
+     */
     void play(int faults) throws IOException, InterruptedException {
+        testbed.setRefusedShare(REFUSED_SHARE);
+        if (random.nextDouble() < STRAY_RUN_SHARE) {
+            startStrayBytes(testbed.endpoints, drawStrayBytes());
+            startStrayBytes(List.of(testbed.platform), drawStrayBytes());
+            testbed.platform.setResetShare(random.nextDouble() / 2);
+        }
+        boolean crowd = random.nextDouble() < CROWD_RUN_SHARE;
+        List<Socket> crowdSockets = crowd ? openIdleClients(random.nextBoolean()) : List.of();
+        try {
+            playFaults(faults);
+        } finally {
+            closeAll(crowdSockets);
+        }
+        testbed.relay.faults().clearFaults();
+    }
+
+    private void startStrayBytes(List<? extends HttpStandIn> standIns, StrayBytes stray) {
+        played.add(standIns.get(0).getClass().getSimpleName() + " all the time " + stray);
+        standIns.forEach(standIn -> standIn.setStrayBytes(stray));
+    }
+
+    private StrayBytes drawStrayBytes() {
+        StrayBytes.Kind[] kinds = StrayBytes.Kind.values();
+        StrayBytes.Kind kind = kinds[1 + random.nextInt(kinds.length - 1)];
+        int minMillis = MIN_STRAY_DELAYS_MILLIS[random.nextInt(MIN_STRAY_DELAYS_MILLIS.length)];
+        return new StrayBytes(kind, 0.1 + random.nextDouble() / 2, minMillis, 1 + minMillis * 4, random.nextLong());
+    }
+
+    private void playFaults(int faults) throws IOException, InterruptedException {
         int restartAt = random.nextInt(faults);
         for (int i = 0; i < faults; i++) {
             if (i == restartAt) {
@@ -52,7 +88,6 @@
             }
             Thread.sleep(random.nextInt(300));
         }
-        testbed.relay.faults().clearFaults();
     }
 
     private Thread playConcurrently(Fault fault) {
@@ -79,13 +114,15 @@
     }
 
     private Fault drawFault() {
-        return switch (random.nextInt(10)) {
+        return switch (random.nextInt(13)) {
             case 0, 1, 2 -> endpointFault();
             case 3, 4 -> folderFault();
             case 5 -> wallClockFault();
             case 6 -> socketFault();
             case 7 -> signalFault();
             case 8 -> discoveryFault();
+            case 9, 10 -> strayBytesFault();
+            case 11 -> drainFault();
             default -> idleClientsFault();
         };
     }
@@ -189,30 +226,65 @@
         };
     }
 
+    private Fault strayBytesFault() {
+        StrayBytes stray = drawStrayBytes();
+        List<? extends HttpStandIn> standIns = random.nextInt(3) == 0 ? List.of(testbed.platform) : testbed.endpoints;
+        long durationMillis = randomMillis(400, 2_500);
+        return () -> {
+            played.add(standIns.get(0).getClass().getSimpleName() + " " + stray);
+            List<StrayBytes> before = new ArrayList<>();
+            standIns.forEach(standIn -> before.add(standIn.replaceStrayBytes(stray)));
+            Thread.sleep(durationMillis);
+            for (int i = 0; i < before.size(); i++) {
+                standIns.get(i).setStrayBytes(before.get(i));
+            }
+        };
+    }
+
+    private Fault drainFault() {
+        int index = random.nextInt(testbed.endpoints.size());
+        long durationMillis = randomMillis(200, 1_500);
+        return () -> {
+            played.add("drain of endpoint " + index);
+            testbed.platform.setDraining(index, true);
+            Thread.sleep(durationMillis);
+            testbed.platform.setDraining(index, false);
+        };
+    }
+
     /** Clients that keep connections open and send nothing or part of a request. */
     private Fault idleClientsFault() {
         long durationMillis = randomMillis(300, 2_500);
         boolean partialRequest = random.nextBoolean();
         return () -> {
-            played.add(partialRequest ? "crowd with half a request" : "mute crowd");
-            List<Socket> sockets = new ArrayList<>();
-            try {
-                for (int i = 0; i < IDLE_CLIENTS; i++) {
-                    Socket socket = new Socket();
-                    sockets.add(socket);
-                    socket.connect(testbed.relay.address(), 200);
-                    if (partialRequest) {
-                        socket.getOutputStream().write("POST /aviso".getBytes());
-                    }
-                }
-                Thread.sleep(durationMillis);
-            } catch (IOException e) {
-                Thread.sleep(durationMillis); // the relay is down or closes the connections
-            } finally {
-                for (Socket socket : sockets) {
-                    socket.close();
+            List<Socket> sockets = openIdleClients(partialRequest);
+            Thread.sleep(durationMillis);
+            closeAll(sockets);
+        };
+    }
+
+    /** Opens the connections that the relay still takes. */
+    private List<Socket> openIdleClients(boolean partialRequest) {
+        played.add(partialRequest ? "crowd with half a request" : "mute crowd");
+        List<Socket> sockets = new ArrayList<>();
+        try {
+            for (int i = 0; i < IDLE_CLIENTS; i++) {
+                Socket socket = new Socket();
+                sockets.add(socket);
+                socket.connect(testbed.relay.address(), 200);
+                if (partialRequest) {
+                    socket.getOutputStream().write("POST /aviso".getBytes());
                 }
             }
-        };
+        } catch (IOException e) {
+            return sockets; // the relay is down or closes connections
+        }
+        return sockets;
+    }
+
+    private static void closeAll(List<Socket> sockets) throws IOException {
+        for (Socket socket : sockets) {
+            socket.close();
+        }
     }
 }
--- a/src/test/java/juniperusher/faults/FaultTestbed.java
+++ b/src/test/java/juniperusher/faults/FaultTestbed.java
@@ -26,6 +26,7 @@
     final Random random;
     private final long maxBudgetMillis;
     private final List<Thread> clients = new ArrayList<>();
+    private volatile double refusedShare;
     private volatile boolean sendingEnabled;
     private volatile boolean connectingEnabled = true; // the load balancer still sends connections to the relay
 
@@ -42,13 +43,19 @@
         relay.start();
     }
 
-    /** The treatment of a call without a fault: delivery after a random service time. */
+    /** The treatment of a call without a fault: after a random service time a delivery, or a refusal in some. */
     EndpointStandIn.Treatment usualTreatment() {
-        long serviceMillis;
         synchronized (random) {
-            serviceMillis = 10 + random.nextInt(60);
+            EndpointStandIn.TreatmentKind kind = random.nextDouble() < refusedShare
+                    ? EndpointStandIn.TreatmentKind.REFUSE
+                    : EndpointStandIn.TreatmentKind.DELIVER;
+            return new EndpointStandIn.Treatment(kind, 10 + random.nextInt(60));
         }
-        return new EndpointStandIn.Treatment(EndpointStandIn.TreatmentKind.DELIVER, serviceMillis);
+    }
+
+    /** Sets the share of calls that an endpoint refuses without a fault. */
+    void setRefusedShare(double share) {
+        refusedShare = share;
     }
 
     /** Starts the clients. */
--- a/src/test/java/juniperusher/faults/PlatformStandIn.java
+++ b/src/test/java/juniperusher/faults/PlatformStandIn.java
@@ -6,14 +6,17 @@
 import java.io.IOException;
 import java.util.List;
 import java.util.Random;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.IntFunction;
 
 /** The discovery agent and the receiver of status reports at one address; discovery can become unresponsive. */
 final class PlatformStandIn extends HttpStandIn {
+    private static final int CHANGE_POLL_MILLIS = 50;
     private static final int HEARTBEAT_MILLIS = 2_000; // between two empty lines of a watch without changes
 
     private final MessageLedger ledger;
-    private volatile String endpointList = "";
+    private final List<String> changes = new CopyOnWriteArrayList<>();
+    private JsonArray servers = new JsonArray();
     private volatile boolean discoverySilent;
     private volatile double resetShare;
     private final Random random = new Random(1);
@@ -23,8 +26,8 @@
     }
 
     /** Sets and returns the list of endpoints; the index of an endpoint is also its destination. */
-    JsonArray setEndpoints(List<EndpointStandIn> endpoints, String zone, IntFunction<String> kinds) {
-        JsonArray servers = new JsonArray();
+    synchronized JsonArray setEndpoints(List<EndpointStandIn> endpoints, String zone, IntFunction<String> kinds) {
+        servers = new JsonArray();
         for (int i = 0; i < endpoints.size(); i++) {
             servers.add(new JsonObject()
                     .add("id", "s-" + i)
@@ -36,12 +39,26 @@
                     .add("weight", 200)
                     .add("started_ms", 0));
         }
-        endpointList = new JsonObject()
-                .add("version", 1)
-                .add("full", true)
-                .add("servers", servers)
+        return Json.parse(servers.toString()).asArray();
+    }
+
+    /** Announces that the endpoint with this index is up or draining. */
+    synchronized void setDraining(int index, boolean draining) {
+        JsonObject server = servers.get(index).asObject().set("state", draining ? "draining" : "up");
+        changes.add(update(changes.size() + 2, false, new JsonArray().add(server)));
+    }
+
+    private synchronized String wholeList() {
+        return update(changes.size() + 1, true, servers);
+    }
+
+    /** A list or a change; the list has version 1, and each change the next one. */
+    private static String update(long version, boolean full, JsonArray entries) {
+        return new JsonObject()
+                .add("version", version)
+                .add("full", full)
+                .add("servers", Json.parse(entries.toString()))
                 .toString();
-        return servers;
     }
 
     /** Makes discovery unresponsive or responsive again. Status reports are acknowledged in both states. */
@@ -72,15 +89,37 @@
             return !connection.closedByPeerWithin(HEARTBEAT_MILLIS * 5L);
         }
         if (!request.path().contains("stream=1")) {
-            answer(connection, "200 OK", "", endpointList);
+            answer(connection, "200 OK", "", wholeList());
             return true;
         }
+        return watch(connection, Integer.parseInt(request.path().replaceAll(".*index=", "")));
+    }
+
+    /** Sends the changes after the version, and with stray bytes each time an older one again. */
+    private boolean watch(Connection connection, int afterVersion) throws IOException {
         connection.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
-        while (!connection.closedByPeerWithin(HEARTBEAT_MILLIS)) {
-            if (!discoverySilent) {
-                connection.write("1\r\n\n\r\n");
+        int next = Math.max(0, afterVersion - 1);
+        int quietMillis = 0;
+        while (!connection.closedByPeerWithin(CHANGE_POLL_MILLIS)) {
+            quietMillis += CHANGE_POLL_MILLIS;
+            if (discoverySilent) {
+                continue;
+            }
+            for (; next < changes.size(); next++) {
+                connection.write(chunk(changes.get(next) + '\n'));
+                if (sendsStrayBytes()) {
+                    connection.write(chunk(changes.get(Math.max(0, next - 1)) + '\n'));
+                }
+            }
+            if (quietMillis >= HEARTBEAT_MILLIS) {
+                quietMillis = 0;
+                connection.write(chunk("\n"));
             }
         }
         return false;
     }
+
+    private static String chunk(String text) {
+        return Integer.toHexString(text.length()) + "\r\n" + text + "\r\n";
+    }
 }
