A call's time-out reads a response that has arrived before it gives the call up

What callers saw: on a busy processor a call could count as timed out, and its message be sent again or given up, though the endpoint's answer lay in the socket; found while the fault tests' ledger was made exact.

Cause: Exchange.abandon closed the connection without a look at what the selector had not read yet.

Change: abandon(TIMED_OUT) reads what has arrived first; a complete response then counts. answeredWithStrayInput is named answeredInDoubt, for what it tells.

Result: PollTest.timeoutReadsResponseThatHasArrived: without the look it would end as timed out; passes, as do StrayInputTest and ConnectQueueTest.

--- a/src/main/java/juniperusher/http/HttpSubchannels.java
+++ b/src/main/java/juniperusher/http/HttpSubchannels.java
@@ -88,7 +88,7 @@
                     }
 
                     @Override
-                    public void answeredWithStrayInput(HttpMessage response) {
+                    public void answeredInDoubt(HttpMessage response) {
                         reportResults(
                                 response,
                                 callEnds(response, rpcs).stream()
--- a/src/main/java/juniperusher/net/HttpPool.java
+++ b/src/main/java/juniperusher/net/HttpPool.java
@@ -79,7 +79,7 @@
          * The whole response has been received, and further bytes behind it. One of the two may have come unasked, so
          * that the response does not prove what the peer did with the request.
          */
-        default void answeredWithStrayInput(HttpMessage response) {
+        default void answeredInDoubt(HttpMessage response) {
             answered(response);
         }
 
@@ -331,7 +331,7 @@
                 addIdle(key, reusable);
             }
             if (strayInput) {
-                listener.answeredWithStrayInput(response);
+                listener.answeredInDoubt(response);
             } else {
                 listener.answered(response);
             }
@@ -352,9 +352,12 @@
         /**
          * Stops waiting for the response: closes the connection that the request uses, if any, then reports the end.
          * A connection that is established at the same time does not send the request afterwards. Has no effect on
-         * an exchange that has ended.
+         * an exchange that has ended. A response that has arrived in time counts, though it is not read yet.
          */
         public void abandon(CallEnd why) {
+            if (why == CallEnd.TIMED_OUT) {
+                poll();
+            }
             HttpClientConnection current;
             boolean mayBeComplete;
             synchronized (this) {
--- a/src/test/java/juniperusher/net/PollTest.java
+++ b/src/test/java/juniperusher/net/PollTest.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import juniperusher.core.CallEnd;
 import org.testng.annotations.Test;
 
@@ -40,6 +41,16 @@
 
     @Test
     public void pollReadsResponseWhileSelectorIsBusy() throws Exception {
+        assertReadWhileSelectorIsBusy(HttpPool.Exchange::poll);
+    }
+
+    /** Guards against a call that counts as timed out, and is repeated, though its response had arrived in time. */
+    @Test
+    public void timeoutReadsResponseThatHasArrived() throws Exception {
+        assertReadWhileSelectorIsBusy(exchange -> exchange.abandon(CallEnd.TIMED_OUT));
+    }
+
+    private static void assertReadWhileSelectorIsBusy(Consumer<HttpPool.Exchange> read) throws Exception {
         CountDownLatch releaseSelector = new CountDownLatch(1);
         try (ServerSocket server = new ServerSocket(0, 5, InetAddress.getByName("127.0.0.1"));
                 Network network = new Network(1)) {
@@ -59,7 +70,7 @@
                     secondSocket.getOutputStream().write(RESPONSE);
                     Thread.sleep(100);
                     assertFalse(second.isDone(), "the selector is not busy");
-                    polled.poll();
+                    read.accept(polled);
                     assertEquals(second.getNow(0), (Integer) 200);
                 }
             } finally {
--- a/src/test/java/juniperusher/net/StrayInputTest.java
+++ b/src/test/java/juniperusher/net/StrayInputTest.java
@@ -55,7 +55,7 @@
                     }
 
                     @Override
-                    public void answeredWithStrayInput(HttpMessage response) {
+                    public void answeredInDoubt(HttpMessage response) {
                         end.complete("in doubt " + response.status());
                     }
 
