PollTest waits for its first request before it starts the second exchange

Cause: ConnectQueue gives the connection that is established first to the exchange that has waited longest, and the test took its first accepted connection for the first exchange's. Traced with a path of its own for each exchange, 80 runs beside the soak: in each of the failed ones the first connection carried the second exchange's request, or nothing, since the test's response had come before the request.

Change: the test reads a byte of the first request before it starts the second exchange.

--- a/src/test/java/juniperusher/net/PollTest.java
+++ b/src/test/java/juniperusher/net/PollTest.java
@@ -61,6 +61,7 @@
             CompletableFuture<Integer> second = new CompletableFuture<>();
             pool.exchange(address, request, () -> true, listener(first, releaseSelector));
             try (Socket firstSocket = server.accept()) {
+                firstSocket.getInputStream().read(); // the first exchange has this connection and not the next one
                 HttpPool.Exchange polled =
                         pool.exchange(address, request, () -> true, listener(second, new CountDownLatch(0)));
                 try (Socket secondSocket = server.accept()) {
