A status report goes on a used connection where none can be opened, and no 204 there counts

Since each post of status reports needs a new connection, so a second without sockets or connects makes reports late, and a late end is a lost message.

If a post cannot open a connection it is sent on one of these; whatever answers there may belong to an earlier post, so the reports stay unacknowledged and go again on a new connection. Calls to endpoints never do this.

Why it is safe: no answer on such a connection is believed, and a report that arrives twice does no harm.

The soak prints violations with their seed.

--- a/src/main/java/juniperusher/http/StatusReporter.java
+++ b/src/main/java/juniperusher/http/StatusReporter.java
@@ -175,6 +175,12 @@
             this.postNumber = postNumber;
         }
 
+        /** A report that arrives twice does no harm, and one that comes late loses its message. */
+        @Override
+        public boolean maySendUnproven() {
+            return true;
+        }
+
         @Override
         public void answered(HttpMessage response) {
             forget(postNumber);
--- a/src/main/java/juniperusher/net/HttpClientConnection.java
+++ b/src/main/java/juniperusher/net/HttpClientConnection.java
@@ -45,6 +45,7 @@
     private boolean requestWriteInProgress; // neither callback of the request's write has run yet
     private boolean writeReturned; // the write of the request has returned to its caller
     private boolean writeFailed; // before the write returned
+    private boolean used; // has carried an exchange before the present one
     private HttpPool.Exchange answeredBeforeWriteEnd; // exchange whose response came while the write was in progress
 
     /** What a look for input without an exchange has found. */
@@ -183,6 +184,11 @@
         return idleSinceNanos;
     }
 
+    /** Whether the connection has carried an exchange that is over. */
+    synchronized boolean isUsed() {
+        return used;
+    }
+
     boolean isUsable() {
         return !closed && getEndPoint().isOpen();
     }
@@ -342,14 +348,18 @@
     private Runnable completeExchange(boolean fromSelector) {
         HttpPool.Exchange completed = currentExchange;
         HttpMessage response = reader.response();
+        boolean proven = !used || pool.reuse() == HttpPool.Reuse.TRUSTED_PEER;
         if (responseTimeout != null) {
             responseTimeout.cancel();
             responseTimeout = null;
         }
         currentExchange = null;
+        used = true;
         InputState behind = lookForInput(UnexpectedInputListener.Reason.BEHIND_RESPONSE);
-        boolean reuse = pool.reusesConnections() && reader.keepsConnection() && behind == InputState.NONE;
-        if (!reuse) {
+        boolean keep = (pool.reuse() == HttpPool.Reuse.TRUSTED_PEER || completed.maySendUnproven())
+                && reader.keepsConnection()
+                && behind == InputState.NONE;
+        if (!keep) {
             closed = true;
             lingering = true;
             startLingering();
@@ -357,12 +367,12 @@
         if (fromSelector) {
             fillInterested();
         }
-        boolean releaseAfterWrite = reuse && requestWriteInProgress;
+        boolean releaseAfterWrite = keep && requestWriteInProgress;
         if (releaseAfterWrite) {
             answeredBeforeWriteEnd = completed;
         }
-        HttpClientConnection reusable = reuse && !releaseAfterWrite ? this : null;
-        return completed == null ? null : () -> completed.answered(response, behind == InputState.BYTES, reusable);
+        HttpClientConnection reusable = keep && !releaseAfterWrite ? this : null;
+        return () -> completed.answered(response, proven, behind == InputState.BYTES, reusable);
     }
 
     /** Closes the connection and ends the exchange on it, if there is one, with {@code end}. */
--- a/src/main/java/juniperusher/net/HttpPool.java
+++ b/src/main/java/juniperusher/net/HttpPool.java
@@ -26,6 +26,7 @@
     private final UnexpectedInputListener unexpectedInput;
     private final ConnectQueue connectQueue;
     private final Map<ConnectionKey, Deque<HttpClientConnection>> idleByKey = new HashMap<>();
+    private final UsedConnections usedConnections = new UsedConnections();
     private int idleCount;
 
     /** The peer of a connection. The owner is part of it, because another endpoint may take over an address. */
@@ -63,8 +64,8 @@
         closeExpired();
     }
 
-    boolean reusesConnections() {
-        return reuse != Reuse.NEVER;
+    Reuse reuse() {
+        return reuse;
     }
 
     /**
@@ -89,6 +90,14 @@
          */
         void ended(CallEnd end, int statusLineCode);
 
+        /**
+         * Whether the request may be sent on a connection that has carried others if none can be opened. Any response
+         * may then belong to an earlier exchange, so it ends this one as {@link CallEnd#SPOILT}.
+         */
+        default boolean maySendUnproven() {
+            return false;
+        }
+
         /** Whether a further connection may be opened if the first one takes long to be established. */
         default boolean mayHedgeConnect() {
             return false;
@@ -192,8 +201,13 @@
         return unexpectedInput;
     }
 
+    /** Takes back a connection on which the exchange was not sent, or whose reuse {@link Reuse} allows. */
     void release(Exchange exchange, HttpClientConnection connection) {
-        addIdle(exchange.key, connection);
+        if (reuse == Reuse.NEVER && connection.isUsed()) {
+            usedConnections.add(exchange.key, connection);
+        } else {
+            addIdle(exchange.key, connection);
+        }
     }
 
     /** Keeps a connection that no exchange waits for any more. */
@@ -202,6 +216,7 @@
     }
 
     void remove(HttpClientConnection connection) {
+        usedConnections.remove(connection);
         synchronized (idleByKey) {
             idleByKey.values().forEach(connections -> idleCount -= connections.remove(connection) ? 1 : 0);
         }
@@ -266,7 +281,7 @@
 
         void connected(HttpClientConnection established) {
             if (!mayStart.getAsBoolean()) {
-                addIdle(key, established);
+                release(this, established);
                 ended(CallEnd.HELD_BACK);
             } else {
                 established.send(this, request);
@@ -274,7 +289,16 @@
         }
 
         void connectFailed() {
-            ended(CallEnd.NOT_CONNECTED);
+            HttpClientConnection used = listener.maySendUnproven() ? usedConnections.take(key) : null;
+            if (used != null) {
+                connected(used);
+            } else {
+                ended(CallEnd.NOT_CONNECTED);
+            }
+        }
+
+        boolean maySendUnproven() {
+            return listener.maySendUnproven();
         }
 
         /**
@@ -320,7 +344,7 @@
             return listener.consume(status, piece);
         }
 
-        void answered(HttpMessage response, boolean strayInput, HttpClientConnection reusable) {
+        void answered(HttpMessage response, boolean proven, boolean strayInput, HttpClientConnection reusable) {
             synchronized (this) {
                 if (finished) {
                     return; // abandoned meanwhile, which also closed the connection
@@ -328,9 +352,11 @@
                 finished = true;
             }
             if (reusable != null) {
-                addIdle(key, reusable);
+                release(this, reusable);
             }
-            if (strayInput) {
+            if (!proven) {
+                listener.ended(CallEnd.SPOILT, 0);
+            } else if (strayInput) {
                 listener.answeredInDoubt(response);
             } else {
                 listener.answered(response);
--- a/src/test/java/juniperusher/faults/FaultSoakTest.java
+++ b/src/test/java/juniperusher/faults/FaultSoakTest.java
@@ -39,6 +39,7 @@
                     + testbed.ledger.delivered() + " broken=" + violations.size() + " log_bytes="
                     + testbed.relay.logBytes()
                     + " folder=" + testbed.relay.folder() + " played=" + schedule.played());
+            violations.forEach(rule -> System.out.println("soak seed=" + seed + " violation: " + rule));
             return violations.stream().map(rule -> "seed " + seed + ": " + rule).toList();
         }
     }
--- a/src/test/java/juniperusher/faults/MessageLedger.java
+++ b/src/test/java/juniperusher/faults/MessageLedger.java
@@ -47,9 +47,7 @@
         TcpConnections.EndPorts currentCall; // connection of the call in flight, or null
         boolean mayHaveRun;
         boolean delivered;
-        TcpConnections.EndPorts deliveredBy; // connection of the call whose answer says so, or null
-        long deliveredNanos;
-        boolean answerSent; // the whole answer is written, with no stray bytes before it on the connection
+        Delivery lastDelivery; // null if it was never delivered
         long endedNanos; // 0 until the message has ended
         String outcome = "none";
         final List<String> history = new ArrayList<>();
@@ -63,6 +61,17 @@
         }
     }
 
+    /** An answer that the message is delivered. Guarded by the lock of its entry. */
+    private static final class Delivery {
+        final TcpConnections.EndPorts call;
+        final long atNanos = System.nanoTime();
+        boolean readable; // the whole answer is written, with no stray bytes before it on the connection
+
+        Delivery(TcpConnections.EndPorts call) {
+            this.call = call;
+        }
+    }
+
     private Entry entry(String id) {
         return entries.computeIfAbsent(id, Entry::new);
     }
@@ -119,8 +128,9 @@
                     && call.isOpen()) {
                 recordViolation(entry, "two attempts at once");
             }
-            if (!entry.mustNotRepeat && entry.deliveredBy != null && !entry.deliveredBy.equals(call)) {
-                checkRepeatLater(entry, entry.deliveredBy, System.nanoTime());
+            Delivery delivery = entry.lastDelivery;
+            if (!entry.mustNotRepeat && delivery != null && !delivery.call.equals(call)) {
+                checkRepeatLater(entry, delivery, System.nanoTime());
             }
             entry.record("call begins");
             entry.currentCall = call;
@@ -128,17 +138,17 @@
     }
 
     /** Whether the relay had read the answer shows in whether the connection was reset, which takes a moment. */
-    private void checkRepeatLater(Entry entry, TcpConnections.EndPorts deliveredBy, long repeatedNanos) {
+    private void checkRepeatLater(Entry entry, Delivery delivery, long repeatedNanos) {
         CompletableFuture.delayedExecutor(KERNEL_SETTLE_MILLIS, TimeUnit.MILLISECONDS)
-                .execute(() -> checkRepeat(entry, deliveredBy, repeatedNanos));
+                .execute(() -> checkRepeat(entry, delivery, repeatedNanos));
     }
 
-    private void checkRepeat(Entry entry, TcpConnections.EndPorts deliveredBy, long repeatedNanos) {
-        boolean answerRead = deliveredBy.isKnown();
+    private void checkRepeat(Entry entry, Delivery delivery, long repeatedNanos) {
+        boolean connectionKnown = delivery.call.isKnown();
         synchronized (entry) {
-            boolean killedBetween = outages.stream()
-                    .anyMatch(outage -> outage[0] <= repeatedNanos && outage[1] >= entry.deliveredNanos);
-            if (answerRead && entry.answerSent && !killedBetween) {
+            boolean killedBetween =
+                    outages.stream().anyMatch(outage -> outage[0] <= repeatedNanos && outage[1] >= delivery.atNanos);
+            if (connectionKnown && delivery.readable && !killedBetween) {
                 recordViolation(entry, "sent again though its delivery was read");
             }
         }
@@ -161,9 +171,7 @@
             entry.record("call answered: delivered");
             entry.mayHaveRun = true;
             entry.delivered = true;
-            entry.deliveredBy = call;
-            entry.deliveredNanos = System.nanoTime();
-            entry.answerSent = false;
+            entry.lastDelivery = new Delivery(call);
             clearCall(entry, call);
             recordEnd(entry, "delivered");
         }
@@ -173,7 +181,9 @@
     void deliveryAnswered(String id, TcpConnections.EndPorts call) {
         Entry entry = entry(id);
         synchronized (entry) {
-            entry.answerSent |= call.equals(entry.deliveredBy);
+            if (entry.lastDelivery != null && entry.lastDelivery.call.equals(call)) {
+                entry.lastDelivery.readable = true;
+            }
         }
     }
 
--- a/src/test/java/juniperusher/faults/SystemCallFaultTest.java
+++ b/src/test/java/juniperusher/faults/SystemCallFaultTest.java
@@ -9,6 +9,8 @@
 public class SystemCallFaultTest {
     private static final long TRAFFIC_MILLIS = 500; // traffic before the fault
     private static final long FAULT_MILLIS = 1_000;
+    private static final long LONG_FAULT_MILLIS = 2_500; // ends that fall due in it are overdue long before it is over
+    private static final long SERVICE_MILLIS = 20;
     private static final long MAX_BUDGET_MILLIS = 2_500;
     private static final int HOUR_SECONDS = 3_600;
     private static final int MAX_ACCEPT_CALLS = 200; // during the fault; a busy loop would exceed this
@@ -45,6 +47,31 @@
         assertDeadlinesKept(13, HOUR_SECONDS);
     }
 
+    /** Guards against status reports that come too late, and so lose their messages, while no connection can be opened. */
+    @Test
+    public void statusReportsArriveInTimeWhileConnectFails() throws Exception {
+        assertReportsArriveDuring(FaultShim.Word.CONNECT_ERRNO, FaultShim.EADDRNOTAVAIL);
+    }
+
+    /** Guards against the same while the process has no descriptor left for another socket. */
+    @Test
+    public void statusReportsArriveInTimeWhileNoSocketCanBeCreated() throws Exception {
+        assertReportsArriveDuring(FaultShim.Word.SOCKET_ERRNO, FaultShim.EMFILE);
+    }
+
+    private static void assertReportsArriveDuring(FaultShim.Word call, int error) throws Exception {
+        try (FaultTestbed testbed = new FaultTestbed(14, MAX_BUDGET_MILLIS)) {
+            testbed.endpoints.forEach(endpoint -> endpoint.setBehaviour(
+                    ids -> new EndpointStandIn.Treatment(EndpointStandIn.TreatmentKind.FAIL, SERVICE_MILLIS)));
+            testbed.startClients();
+            Thread.sleep(TRAFFIC_MILLIS);
+            testbed.relay.faults().set(call, error);
+            Thread.sleep(LONG_FAULT_MILLIS);
+            testbed.relay.faults().clearFaults();
+            assertEquals(String.join("\n", testbed.settleAndCheck()), "");
+        }
+    }
+
     private static void assertDeadlinesKept(long seed, int seconds) throws Exception {
         try (FaultTestbed testbed = new FaultTestbed(seed, MAX_BUDGET_MILLIS)) {
             testbed.startClients();
