An older change on the open watch is not applied; the full list tells what holds

Discovery's agent, or a proxy before it, that sends an older change again behind a newer one made a draining endpoint ready again, and new calls went to it.

Cause: Membership applied each update of the watch that is open, whatever its version; only replaced watches were checked.

Change: an update that is older than the present state is not applied. It is logged and counted (unexpected_input_total, reason older_change), and the full list is requested, which also covers a discovery that has really gone back.

Result: MembershipTest.olderChangeOnTheOpenWatchIsNotAppliedAndTheFullListIsRequested: by the code before, the endpoint is ready again (read: accepts() returned true for the open watch).

--- a/src/main/java/juniperusher/http/Resolver.java
+++ b/src/main/java/juniperusher/http/Resolver.java
@@ -335,6 +335,14 @@
                             .addKeyValue("ids", update.unreadableIds())
                             .log("some entries cannot be parsed; their endpoints keep their last known state");
                 }
+                if (membership.isOutdated(watchNumber, update.version())) {
+                    counters.add("unexpected_input_total", "reason", "older_change");
+                    LOG.atWarn()
+                            .addKeyValue("watch", watchNumber)
+                            .addKeyValue("reason", "older_change")
+                            .addKeyValue("version", update.version())
+                            .log("input that belongs to no call; requesting the whole list");
+                }
                 return membership.updateReceived(watchNumber, update, now);
             });
         }
--- a/src/main/java/juniperusher/membership/DiscoveryWatch.java
+++ b/src/main/java/juniperusher/membership/DiscoveryWatch.java
@@ -95,6 +95,11 @@
         return requestedFullList != null && (updateVersion > version || requestedFullList && updateVersion == version);
     }
 
+    /** Whether the update is older than the present state, as a repeated one is, which it would revert. */
+    boolean isOutdated(int watch, long updateVersion) {
+        return watch == current && watch != 0 && versionKnown && updateVersion < version;
+    }
+
     /** Records that an update of this version, which {@link #accepts} has accepted, was applied. */
     List<Step> updateApplied(int watch, long appliedVersion, double now) {
         version = appliedVersion;
--- a/src/main/java/juniperusher/membership/Membership.java
+++ b/src/main/java/juniperusher/membership/Membership.java
@@ -74,8 +74,20 @@
         return List.of();
     }
 
-    /** A readable update has arrived on a watch. */
+    /** Whether an update of this version on the watch is older than the present state, so that it is not applied. */
+    public boolean isOutdated(int watchNumber, long version) {
+        return watch.isOutdated(watchNumber, version);
+    }
+
+    /**
+     * A readable update has arrived on a watch. One that is older than the present state is not applied; the full list
+     * tells whether it was repeated or discovery went back.
+     */
     public List<Step> updateReceived(int watchNumber, EndpointUpdate update, double now) {
+        if (watch.isOutdated(watchNumber, update.version())) {
+            watch.dataReceived(watchNumber, now);
+            return watch.unreadableDataReceived(watchNumber, now);
+        }
         if (!watch.dataReceived(watchNumber, now) || !watch.accepts(watchNumber, update.version())) {
             return List.of();
         }
--- a/src/test/java/juniperusher/membership/MembershipTest.java
+++ b/src/test/java/juniperusher/membership/MembershipTest.java
@@ -235,6 +235,18 @@
         assertEquals(Phase.DRAINING, endpoint("a").target().phase());
     }
 
+    /** Guards against a repeated older change on the open watch that makes a draining endpoint ready again. */
+    @Test
+    void olderChangeOnTheOpenWatchIsNotAppliedAndTheFullListIsRequested() {
+        Step.Open first = started();
+        Step.Open watch =
+                opened(membership.updateReceived(first.watchNumber(), whole(3, entry("a", Phase.READY, 10)), 0.1));
+        membership.updateReceived(watch.watchNumber(), changes(5, entry("a", Phase.DRAINING, 10)), 0.2);
+        membership.updateReceived(watch.watchNumber(), changes(4, entry("a", Phase.READY, 10)), 0.3);
+        assertEquals(Phase.DRAINING, endpoint("a").target().phase());
+        assertTrue(opened(membership.tick(1)).fullList(), "discovery may have gone back");
+    }
+
     @Test
     void atMostThreeWatchesAreOpenInALongOutage() {
         Step.Open watch = opened(membership.updateReceived(started().watchNumber(), whole(1), 0));
