Used connections for status reports outlast stray bytes; idle and lingering state get files

Stray bytes had closed the used connections.

Change: since nothing that comes on such a connection is believed, it is read and discarded there, and the connection stays. Eight are kept in place of two. While a post is out on one, whatever comes ends the post unacknowledged.

Also: IdleConnections and LingeringClose hold what HttpPool and HttpClientConnection did in passing.

--- a/src/main/java/juniperusher/net/HttpClientConnection.java
+++ b/src/main/java/juniperusher/net/HttpClientConnection.java
@@ -27,9 +27,6 @@
 final class HttpClientConnection extends AbstractConnection {
     private static final int INPUT_BUFFER_BYTES = 4 * 1024;
     private static final long RESPONSE_TIMEOUT_MILLIS = 500; // from the first byte of a response to its last
-    // Idle time after which a connection whose output is shut down is closed.
-    private static final long LINGER_IDLE_TIMEOUT_MILLIS = 1_000;
-    private static final int MAX_DISCARDED_BYTES = 1 << 20; // read and discarded after the output is shut down
 
     private final Network network;
     private final HttpPool pool;
@@ -39,7 +36,7 @@
     private volatile HttpPool.Exchange currentExchange;
     private volatile boolean closed;
     private volatile boolean lingering; // the output is shut down, further input is discarded
-    private int discardedBytes;
+    private final LingeringClose lingeringClose;
     private volatile long idleSinceNanos;
     private Scheduler.Task responseTimeout;
     private boolean requestWriteInProgress; // neither callback of the request's write has run yet
@@ -60,6 +57,8 @@
         this.network = network;
         this.pool = pool;
         this.onOpened = onOpened;
+        lingeringClose = new LingeringClose(
+                endPoint, input, () -> reportUnexpected(UnexpectedInputListener.Reason.AFTER_SHUTDOWN));
     }
 
     /** Reading never blocks, so the selector thread reads each response without a hand-over to another thread. */
@@ -80,6 +79,13 @@
         return lookForInput(UnexpectedInputListener.Reason.WHILE_IDLE) == InputState.NONE;
     }
 
+    /** Whether a connection on which no response is believed can still be written to. Discards what has arrived. */
+    synchronized boolean isOpenForUnproven() {
+        boolean open = lookForInput(UnexpectedInputListener.Reason.WHILE_IDLE) != InputState.ENDED;
+        BufferUtil.clear(input);
+        return open;
+    }
+
     /** Looks for input that belongs to no exchange, and reports it. Needs the lock. */
     private InputState lookForInput(UnexpectedInputListener.Reason reason) {
         try {
@@ -122,7 +128,10 @@
 
     /** Starts to write the request. Returns false if the connection cannot be used any more. */
     private synchronized boolean write(HttpPool.Exchange next, ByteBuffer request) {
-        if (lookForInput(UnexpectedInputListener.Reason.BEFORE_REQUEST) != InputState.NONE) {
+        boolean writable = believesNothing()
+                ? isOpenForUnproven()
+                : lookForInput(UnexpectedInputListener.Reason.BEFORE_REQUEST) == InputState.NONE;
+        if (!writable) {
             next.requestNotFullyWritten();
             return false;
         }
@@ -212,33 +221,19 @@
     }
 
     private void startLingering() {
-        getEndPoint().setIdleTimeout(LINGER_IDLE_TIMEOUT_MILLIS);
-        getEndPoint().shutdownOutput();
+        lingeringClose.start();
     }
 
+    // ---- reading ----
+
     private void discardInput() {
-        try {
-            while (true) {
-                BufferUtil.clear(input);
-                int n = getEndPoint().fill(input);
-                discardedBytes += Math.max(0, n);
-                reportUnexpected(UnexpectedInputListener.Reason.AFTER_SHUTDOWN);
-                if (n < 0 || discardedBytes > MAX_DISCARDED_BYTES) {
-                    close();
-                    return;
-                }
-                if (n == 0) {
-                    fillInterested();
-                    return;
-                }
-            }
-        } catch (IOException | RuntimeException e) {
+        if (lingeringClose.discardInput()) {
+            fillInterested();
+        } else {
             close();
         }
     }
 
-    // ---- reading ----
-
     @Override
     public void onFillable() {
         if (lingering) {
@@ -283,6 +278,9 @@
                         return null;
                     }
                 }
+                if (believesNothing()) {
+                    return processUnprovenInput(fromSelector);
+                }
                 if (currentExchange == null) {
                     return processUnexpectedInput(fromSelector);
                 }
@@ -311,6 +309,38 @@
         return complete ? completeExchange(fromSelector) : () -> fail(CallEnd.BROKEN);
     }
 
+    /** Whether input may belong to an exchange before the present one. */
+    private boolean believesNothing() {
+        return used && pool.reuse() == HttpPool.Reuse.NEVER;
+    }
+
+    /** Discards the input. If an exchange is in flight, that something came ends it. */
+    private Runnable processUnprovenInput(boolean fromSelector) {
+        HttpPool.Exchange completed = currentExchange;
+        if (completed == null) {
+            reportUnexpected(UnexpectedInputListener.Reason.WHILE_IDLE);
+        }
+        BufferUtil.clear(input);
+        currentExchange = null;
+        if (fromSelector) {
+            fillInterested();
+        }
+        if (completed == null) {
+            return null;
+        }
+        HttpClientConnection reusable = releasableNow(completed);
+        return () -> completed.answeredUnproven(reusable);
+    }
+
+    /** This connection, or null if it is released only once the write of the request has returned. */
+    private HttpClientConnection releasableNow(HttpPool.Exchange completed) {
+        if (requestWriteInProgress) {
+            answeredBeforeWriteEnd = completed;
+            return null;
+        }
+        return this;
+    }
+
     private Runnable processUnexpectedInput(boolean fromSelector) {
         reportUnexpected(UnexpectedInputListener.Reason.WHILE_IDLE);
         closed = true;
@@ -348,7 +378,6 @@
     private Runnable completeExchange(boolean fromSelector) {
         HttpPool.Exchange completed = currentExchange;
         HttpMessage response = reader.response();
-        boolean proven = !used || pool.reuse() == HttpPool.Reuse.TRUSTED_PEER;
         if (responseTimeout != null) {
             responseTimeout.cancel();
             responseTimeout = null;
@@ -367,12 +396,8 @@
         if (fromSelector) {
             fillInterested();
         }
-        boolean releaseAfterWrite = keep && requestWriteInProgress;
-        if (releaseAfterWrite) {
-            answeredBeforeWriteEnd = completed;
-        }
-        HttpClientConnection reusable = keep && !releaseAfterWrite ? this : null;
-        return () -> completed.answered(response, proven, behind == InputState.BYTES, reusable);
+        HttpClientConnection reusable = keep ? releasableNow(completed) : null;
+        return () -> completed.answered(response, behind == InputState.BYTES, reusable);
     }
 
     /** Closes the connection and ends the exchange on it, if there is one, with {@code end}. */
--- a/src/main/java/juniperusher/net/HttpPool.java
+++ b/src/main/java/juniperusher/net/HttpPool.java
@@ -2,10 +2,6 @@
 
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
-import java.util.ArrayDeque;
-import java.util.Deque;
-import java.util.HashMap;
-import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import juniperusher.core.CallEnd;
@@ -18,16 +14,14 @@
 public final class HttpPool {
     // Bodies of messages have at most 64 KiB; this allows longer responses.
     private static final long MAX_RESPONSE_BYTES = 256 * 1024;
+    private static final long EXPIRY_INTERVAL_MILLIS = 200; // between two looks for idle connections that have expired
 
     private final Network network;
     private final Reuse reuse;
-    private final long idleTimeoutNanos;
-    private final int maxIdle;
     private final UnexpectedInputListener unexpectedInput;
     private final ConnectQueue connectQueue;
-    private final Map<ConnectionKey, Deque<HttpClientConnection>> idleByKey = new HashMap<>();
+    private final IdleConnections idleConnections;
     private final UsedConnections usedConnections = new UsedConnections();
-    private int idleCount;
 
     /** The peer of a connection. The owner is part of it, because another endpoint may take over an address. */
     record ConnectionKey(InetSocketAddress address, int owner) {}
@@ -57,9 +51,8 @@
             UnexpectedInputListener unexpectedInput) {
         this.network = network;
         this.reuse = reuse;
-        this.maxIdle = maxIdle;
         this.unexpectedInput = unexpectedInput;
-        idleTimeoutNanos = (long) (idleTimeoutSeconds * 1e9);
+        idleConnections = new IdleConnections((long) (idleTimeoutSeconds * 1e9), maxIdle);
         connectQueue = new ConnectQueue(network, this);
         closeExpired();
     }
@@ -137,11 +130,7 @@
     public Exchange exchange(
             InetSocketAddress address, int owner, HttpMessage request, BooleanSupplier mayStart, Listener listener) {
         Exchange exchange = new Exchange(new ConnectionKey(address, owner), request.encode(), mayStart, listener);
-        HttpClientConnection idleConnection = takeIdle(exchange.key);
-        while (idleConnection != null && !idleConnection.hasNoInput()) {
-            idleConnection.closeGracefully();
-            idleConnection = takeIdle(exchange.key);
-        }
+        HttpClientConnection idleConnection = idleConnections.take(exchange.key);
         if (idleConnection != null) {
             exchange.connected(idleConnection);
         } else if (!mayStart.getAsBoolean()) {
@@ -152,51 +141,6 @@
         return exchange;
     }
 
-    private HttpClientConnection takeIdle(ConnectionKey key) {
-        synchronized (idleByKey) {
-            Deque<HttpClientConnection> idleForKey = idleByKey.get(key);
-            while (idleForKey != null && !idleForKey.isEmpty()) {
-                HttpClientConnection connection = idleForKey.pollFirst();
-                idleCount--;
-                if (connection.isUsable() && System.nanoTime() - connection.idleSinceNanos() < idleTimeoutNanos) {
-                    return connection;
-                }
-                connection.closeGracefully();
-            }
-            return null;
-        }
-    }
-
-    private void addIdle(ConnectionKey key, HttpClientConnection connection) {
-        connection.setIdleSinceNanos(System.nanoTime());
-        HttpClientConnection evicted = null;
-        synchronized (idleByKey) {
-            if (connection.isUsable()) {
-                idleByKey.computeIfAbsent(key, absent -> new ArrayDeque<>()).addFirst(connection);
-                evicted = ++idleCount > maxIdle ? removeLongestIdle() : null;
-            }
-        }
-        if (evicted != null) {
-            evicted.closeGracefully();
-        }
-    }
-
-    /** Removes the connection that has been idle longest, so that the pool does not use up file descriptors. */
-    private HttpClientConnection removeLongestIdle() {
-        Deque<HttpClientConnection> oldest = null;
-        for (Deque<HttpClientConnection> candidates : idleByKey.values()) {
-            if (!candidates.isEmpty()
-                    && (oldest == null
-                            || candidates.peekLast().idleSinceNanos()
-                                            - oldest.peekLast().idleSinceNanos()
-                                    < 0)) {
-                oldest = candidates;
-            }
-        }
-        idleCount--;
-        return oldest.pollLast();
-    }
-
     UnexpectedInputListener unexpectedInput() {
         return unexpectedInput;
     }
@@ -206,47 +150,29 @@
         if (reuse == Reuse.NEVER && connection.isUsed()) {
             usedConnections.add(exchange.key, connection);
         } else {
-            addIdle(exchange.key, connection);
+            idleConnections.add(exchange.key, connection);
         }
     }
 
     /** Keeps a connection that no exchange waits for any more. */
     void keepUnused(ConnectionKey key, HttpClientConnection connection) {
-        addIdle(key, connection);
+        idleConnections.add(key, connection);
     }
 
+    /** Forgets a connection that is closed. */
     void remove(HttpClientConnection connection) {
+        idleConnections.remove(connection);
         usedConnections.remove(connection);
-        synchronized (idleByKey) {
-            idleByKey.values().forEach(connections -> idleCount -= connections.remove(connection) ? 1 : 0);
-        }
     }
 
     /** Closes the idle connections opened for this owner of the address. */
     public void closeIdle(InetSocketAddress address, int owner) {
-        Deque<HttpClientConnection> removed;
-        synchronized (idleByKey) {
-            removed = idleByKey.remove(new ConnectionKey(address, owner));
-            idleCount -= removed == null ? 0 : removed.size();
-        }
-        if (removed != null) {
-            removed.forEach(HttpClientConnection::closeGracefully);
-        }
+        idleConnections.closeAll(new ConnectionKey(address, owner));
     }
 
     private void closeExpired() {
-        Deque<HttpClientConnection> expired = new ArrayDeque<>();
-        synchronized (idleByKey) {
-            long now = System.nanoTime();
-            idleByKey
-                    .values()
-                    .forEach(connections -> connections.removeIf(connection ->
-                            now - connection.idleSinceNanos() >= idleTimeoutNanos && expired.add(connection)));
-            idleCount -= expired.size();
-            idleByKey.values().removeIf(Deque::isEmpty);
-        }
-        expired.forEach(HttpClientConnection::closeGracefully);
-        network.scheduler().schedule(this::closeExpired, 200, TimeUnit.MILLISECONDS);
+        idleConnections.closeExpired();
+        network.scheduler().schedule(this::closeExpired, EXPIRY_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
     }
 
     /** One request and its response; ends exactly once. */
@@ -344,7 +270,7 @@
             return listener.consume(status, piece);
         }
 
-        void answered(HttpMessage response, boolean proven, boolean strayInput, HttpClientConnection reusable) {
+        void answered(HttpMessage response, boolean strayInput, HttpClientConnection reusable) {
             synchronized (this) {
                 if (finished) {
                     return; // abandoned meanwhile, which also closed the connection
@@ -354,15 +280,27 @@
             if (reusable != null) {
                 release(this, reusable);
             }
-            if (!proven) {
-                listener.ended(CallEnd.SPOILT, 0);
-            } else if (strayInput) {
+            if (strayInput) {
                 listener.answeredInDoubt(response);
             } else {
                 listener.answered(response);
             }
         }
 
+        /** Something came on a connection that had carried other exchanges. */
+        void answeredUnproven(HttpClientConnection reusable) {
+            synchronized (this) {
+                if (finished) {
+                    return; // abandoned meanwhile, which also closed the connection
+                }
+                finished = true;
+            }
+            if (reusable != null) {
+                release(this, reusable);
+            }
+            listener.ended(CallEnd.SPOILT, 0);
+        }
+
         void ended(CallEnd why) {
             boolean mayBeComplete;
             synchronized (this) {
--- a/src/main/java/juniperusher/net/UsedConnections.java
+++ b/src/main/java/juniperusher/net/UsedConnections.java
@@ -10,7 +10,7 @@
  * They stay until the peer closes them, since they are needed when no other can be opened. Thread-safe.
  */
 final class UsedConnections {
-    private static final int MAX_PER_PEER = 2;
+    private static final int MAX_PER_PEER = 8; // some may be reset while no other can be opened
 
     private final Map<HttpPool.ConnectionKey, Deque<HttpClientConnection>> byKey = new HashMap<>(); // newest first
 
@@ -27,10 +27,10 @@
         }
     }
 
-    /** Takes the newest connection without unread input; null if there is none. */
+    /** Takes the newest connection that is still open; null if there is none. */
     HttpClientConnection take(HttpPool.ConnectionKey key) {
         HttpClientConnection connection = poll(key);
-        while (connection != null && !connection.hasNoInput()) {
+        while (connection != null && !connection.isOpenForUnproven()) {
             connection.closeGracefully();
             connection = poll(key);
         }
