An exchange owns its connection only after the last look for stray input

Cause: HttpClientConnection.send made the exchange current before the look that precedes the first byte. Input that the selector read in between was parsed as the start of its response: by a reader that had no exchange yet, so that the call ended as one that may have run though nothing of it was written.

Change: the look, the claim and the write are one step under the connection's lock.

--- a/src/main/java/juniperusher/net/HttpClientConnection.java
+++ b/src/main/java/juniperusher/net/HttpClientConnection.java
@@ -115,22 +115,22 @@
      * that bytes remain. Returns the connection to the pool if the exchange has ended meanwhile.
      */
     void send(HttpPool.Exchange next, ByteBuffer request) {
-        currentExchange = next;
         if (!next.claimConnection(this)) {
-            currentExchange = null;
             pool.release(next, this);
-            return;
-        }
-        if (!write(next, request)) {
+        } else if (!write(next, request)) {
             fail(CallEnd.BROKEN);
         }
     }
 
-    /** Starts to write the request. Returns false if the connection cannot be used any more. */
+    /**
+     * Starts to write the request, after a last look for input: what has arrived until then is no response. Returns false
+     * if the connection cannot be used any more.
+     */
     private synchronized boolean write(HttpPool.Exchange next, ByteBuffer request) {
         boolean writable = believesNothing()
                 ? isOpenForUnproven()
                 : lookForInput(UnexpectedInputListener.Reason.BEFORE_REQUEST) == InputState.NONE;
+        currentExchange = next;
         if (!writable) {
             next.requestNotFullyWritten();
             return false;
@@ -217,10 +217,6 @@
             lingering = true;
         }
         pool.remove(this);
-        startLingering();
-    }
-
-    private void startLingering() {
         lingeringClose.start();
     }
 
@@ -347,7 +343,7 @@
         lingering = true;
         return () -> {
             pool.remove(this);
-            startLingering();
+            lingeringClose.start();
             if (fromSelector) {
                 discardInput(); // after a poll the read interest is still registered
             }
@@ -391,7 +387,7 @@
         if (!keep) {
             closed = true;
             lingering = true;
-            startLingering();
+            lingeringClose.start();
         }
         if (fromSelector) {
             fillInterested();
