The broker of TenThousandOrdersTest sends some confirms and all returns a second time

Change: one confirm in seven of a channel and each return come again after 5 ms, when the next order may be on the channel.

--- a/src/test/java/juniperusher/amqp/FakeBroker.java
+++ b/src/test/java/juniperusher/amqp/FakeBroker.java
@@ -13,14 +13,25 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
  * A fake broker, written from the public specification of AMQP 0-9-1 and of publisher confirms. It counts how
  * often each message id takes effect, and injects faults into a given share of the publishes, reproducibly from
- * a seed.
+ * a seed. Some confirms and all returns come a second time.
  */
 final class FakeBroker implements AutoCloseable {
+    private static final int REPEATED_EVERY = 7; // confirms of a channel, of which one comes twice
+    private static final long REPEAT_DELAY_MILLIS = 5;
+    private static final ScheduledExecutorService REPEATS = Executors.newSingleThreadScheduledExecutor(task -> {
+        Thread thread = new Thread(task, "repeats");
+        thread.setDaemon(true);
+        return thread;
+    });
+
     final Map<String, AtomicInteger> applied = new ConcurrentHashMap<>();
     final Map<String, AtomicInteger> injectedFaults = new ConcurrentHashMap<>();
     private final ServerSocket server;
@@ -153,6 +164,20 @@
         }
     }
 
+    /** Writes the bytes a second time, when the relay may have published the next order on their channel. */
+    private static void writeLater(OutputStream out, byte[] bytes) {
+        REPEATS.schedule(
+                () -> {
+                    try {
+                        write(out, bytes);
+                    } catch (IOException e) {
+                        return; // the connection has ended meanwhile
+                    }
+                },
+                REPEAT_DELAY_MILLIS,
+                TimeUnit.MILLISECONDS);
+    }
+
     private static void write(OutputStream out, byte[] bytes) throws IOException {
         synchronized (out) {
             out.write(bytes);
@@ -213,7 +238,13 @@
             applied.computeIfAbsent(id, key -> new AtomicInteger()).incrementAndGet();
         }
         switch (outcome) {
-            case ACK -> write(out, new Method.Writer(Method.ACK).u64(tag).u8(0).methodFrame(channel));
+            case ACK -> {
+                byte[] confirm = new Method.Writer(Method.ACK).u64(tag).u8(0).methodFrame(channel);
+                write(out, confirm);
+                if (tag % REPEATED_EVERY == 0) {
+                    writeLater(out, confirm);
+                }
+            }
             case NACK, NACK_APPLIED ->
                 write(out, new Method.Writer(Method.NACK).u64(tag).u8(0).methodFrame(channel));
             case CHANNEL_CLOSED -> {
@@ -228,17 +259,17 @@
                                 .methodFrame(channel));
             }
             case RETURNED -> {
-                write(
-                        out,
-                        new Content("", "", "", "", id, "", new byte[0])
-                                .toFrames(
-                                        new Method.Writer(Method.RETURN)
-                                                .u16(312)
-                                                .shortText("NO_ROUTE")
-                                                .shortText("")
-                                                .shortText("builds"),
-                                        channel,
-                                        4096));
+                byte[] returned = new Content("", "", "", "", id, "", new byte[0])
+                        .toFrames(
+                                new Method.Writer(Method.RETURN)
+                                        .u16(312)
+                                        .shortText("NO_ROUTE")
+                                        .shortText("")
+                                        .shortText("builds"),
+                                channel,
+                                4096);
+                write(out, returned);
+                writeLater(out, returned);
                 write(out, new Method.Writer(Method.ACK).u64(tag).u8(0).methodFrame(channel));
             }
             default -> {}
