--- a/src/main/java/juniperusher/core/CallEnd.java
+++ b/src/main/java/juniperusher/core/CallEnd.java
@@ -60,8 +60,8 @@
     }
 
     /**
-     * Returns {@code FAILED} if this end claims that the call never ran, as it may have run if the answer does not prove
-     * it; otherwise this end.
+     * Returns {@code FAILED} if this end claims that the call never ran, as it may have run if the answer does not
+     * prove it; otherwise this end.
      */
     public CallEnd withoutProof() {
         return outcome.neverRan() ? FAILED : this;
--- a/src/main/java/juniperusher/http/UnexpectedInputLog.java
+++ b/src/main/java/juniperusher/http/UnexpectedInputLog.java
@@ -11,8 +11,8 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * Counts and logs input from endpoints, the platform and discovery that belongs to no exchange. All of it is counted; the
- * log has at most one line per peer in {@value #LOG_INTERVAL_SECONDS} s, with the number of reports since the line before.
+ * Counts and logs input from endpoints, the platform and discovery that belongs to no exchange. All of it is counted;
+ * the log has at most one line per peer in {@value #LOG_INTERVAL_SECONDS} s, with the reports since the line before.
  */
 final class UnexpectedInputLog implements UnexpectedInputListener {
     private static final Logger LOG = LoggerFactory.getLogger(UnexpectedInputLog.class);
--- a/src/main/java/juniperusher/net/HttpClientConnection.java
+++ b/src/main/java/juniperusher/net/HttpClientConnection.java
@@ -123,8 +123,8 @@
     }
 
     /**
-     * Starts to write the request, after a last look for input: what has arrived until then is no response. Returns false
-     * if the connection cannot be used any more.
+     * Starts to write the request, after a last look for input: what has arrived until then is no response. Returns
+     * false if the connection cannot be used any more.
      */
     private synchronized boolean write(HttpPool.Exchange next, ByteBuffer request) {
         boolean writable = believesNothing()
--- a/src/main/java/juniperusher/net/HttpPool.java
+++ b/src/main/java/juniperusher/net/HttpPool.java
@@ -7,7 +7,8 @@
 import juniperusher.core.CallEnd;
 
 /**
- * Client for HTTP/1.1 exchanges with a pool of idle connections. {@link Reuse} decides whether a connection carries more
+ * Client for HTTP/1.1 exchanges with a pool of idle connections. {@link Reuse} decides whether a connection carries
+ * more
  * than one exchange. The idle timeout has to be shorter than the server's, since a request written to a connection that
  * the server is closing ends with a reset. The pool never repeats a request. All methods are thread-safe.
  */
--- a/src/main/java/juniperusher/net/LingeringClose.java
+++ b/src/main/java/juniperusher/net/LingeringClose.java
@@ -6,8 +6,8 @@
 import org.eclipse.jetty.util.BufferUtil;
 
 /**
- * Closes a connection in two steps: first the output, then the rest once the peer has closed its side or a limit of time or
- * bytes is reached. What arrives in between is discarded. Not thread-safe.
+ * Closes a connection in two steps: first the output, then the rest once the peer has closed its side or a limit of
+ * time or bytes is reached. What arrives in between is discarded. Not thread-safe.
  */
 final class LingeringClose {
     private static final long IDLE_TIMEOUT_MILLIS = 1_000; // without input; then the connection is closed
--- a/src/main/java/juniperusher/net/UsedConnections.java
+++ b/src/main/java/juniperusher/net/UsedConnections.java
@@ -6,8 +6,8 @@
 import java.util.Map;
 
 /**
- * Connections that have carried an exchange, kept for requests that may be sent unproven. No response on them is believed.
- * They stay until the peer closes them, since they are needed when no other can be opened. Thread-safe.
+ * Connections that have carried an exchange, kept for requests that may be sent unproven. No response on them is
+ * believed. They stay until the peer closes them, since they are needed when no other can be opened. Thread-safe.
  */
 final class UsedConnections {
     private static final int MAX_PER_PEER = 8; // some may be reset while no other can be opened
--- a/src/test/java/juniperusher/faults/FaultSchedule.java
+++ b/src/test/java/juniperusher/faults/FaultSchedule.java
@@ -41,8 +41,8 @@
     }
 
     /**
-     * Plays this number of faults, with one restart at a random position among them. In some runs stray bytes follow the
-     * answers, or idle clients hold connections, all the time.
+     * Plays this number of faults, with one restart at a random position among them. In some runs stray bytes follow
+     * the answers, or idle clients hold connections, all the time.
      */
     void play(int faults) throws IOException, InterruptedException {
         testbed.setRefusedShare(REFUSED_SHARE);
--- a/src/test/java/juniperusher/faults/SystemCallFaultTest.java
+++ b/src/test/java/juniperusher/faults/SystemCallFaultTest.java
@@ -47,7 +47,7 @@
         assertDeadlinesKept(13, HOUR_SECONDS);
     }
 
-    /** Guards against status reports that come too late, and so lose their messages, while no connection can be opened. */
+    /** Guards against status reports that come too late, so that their messages are lost, while connect fails. */
     @Test
     public void statusReportsArriveInTimeWhileConnectFails() throws Exception {
         assertReportsArriveDuring(FaultShim.Word.CONNECT_ERRNO, FaultShim.EADDRNOTAVAIL);
--- a/src/test/java/juniperusher/net/ExchangePlayer.java
+++ b/src/test/java/juniperusher/net/ExchangePlayer.java
@@ -32,8 +32,8 @@
  * <li>{@code <}: the program must send exactly these bytes;</li>
  * <li>{@code !}: the program must close the party's connection;</li>
  * <li>{@code x}: the party closes its connection;</li>
- * <li>{@code ^}: the party takes the connection whose first byte is this character, and leaves those that come before it
- * to the next parties of its kind, since the program opens them in any order;</li>
+ * <li>{@code ^}: the party takes the connection whose first byte is this character, and leaves those that come before
+ * it to the next parties of its kind, since the program opens them in any order;</li>
  * <li>{@code -}: the program must open no further connection to the party for this many milliseconds;</li>
  * <li>{@code ~}: a pause in milliseconds.</li>
  * </ul>
