--- a/src/test/java/juniperusher/faults/TcpConnections.java
+++ b/src/test/java/juniperusher/faults/TcpConnections.java
@@ -33,8 +33,8 @@
         }
 
         /**
-         * Whether the kernel still knows the connection from either end, open or closed in the last minute. It
-         * forgets a connection at once that is reset, and a close with unread input resets. So a connection that it knows was
+         * Whether the kernel still knows the connection from either end, open or closed in the last minute. It forgets
+         * a connection at once that is reset, and a close with unread input resets. So a connection that it knows was
          * closed, if at all, by processes that had read all that arrived before.
          */
         boolean isKnown() {
