--- a/review/standins/Lab.java
+++ b/review/standins/Lab.java
@@ -249,7 +249,7 @@
                 if (!process.isAlive() || millis() > until) {
                     throw new IOException(name + " gave no yes: " + lastLines());
                 }
-                sleep(10);
+                sleep(3);
             }
         }
 
