--- a/review/standins/StalledClients.java
+++ b/review/standins/StalledClients.java
@@ -34,6 +34,9 @@
         Lab.Platform platform = lab.new Platform();
         Set<String> delivered = ConcurrentHashMap.newKeySet();
         Lab.Server full = lab.new Server((request, connection) -> { // above its limit all the time
+            if (request.startLine().startsWith("POST")) {
+                lab.note("a call with %s is turned away with 503", Lab.ids(request));
+            }
             connection.answer("503 Service Unavailable", "", "");
             return true;
         });
