--- a/src/main/java/juniperusher/core/Journal.java
+++ b/src/main/java/juniperusher/core/Journal.java
@@ -47,10 +47,8 @@
     private static final int FOLDER_OVERHEAD_BYTES = 8 * 1024;
     // How long the key of a finished RPC that is accepted only once is remembered.
     private static final long REMEMBERED_KEY_MILLIS = 120_000;
-    // Added to the owner's last segment number; the owner writes further segments while the successor writes its own.
+    // Between the owner's last segment and the successor's first: the owner writes further segments meanwhile.
     private static final int SUCCESSOR_SEGMENT_OFFSET = 10_000;
-    // Added to the owner's last message number, since the owner accepts further messages too.
-    private static final int SUCCESSOR_NUMBER_OFFSET = 1 << 24;
     // A difference of this size between the steady clock and the wall clock is logged at level INFO.
     private static final long CLOCK_STEP_MILLIS = 1_000;
     private static final String OWNER_LOCK_FILE = "owner";
@@ -68,9 +66,9 @@
     private final List<UnfinishedMessage> recovered;
     private final List<Runnable> actionsOnceWritten = new ArrayList<>();
     private JournalSegments segments;
-    private int firstSegment; // lowest segment number that a snapshot of this journal replaces
+    private int firstSegment = SegmentNumbers.NONE; // a snapshot replaces the segments from here on; NONE: all
     private long snapshotBytes; // size of a snapshot of the current state
-    private int lastNumber;
+    private MessageNumbers numbers;
     private FileChannel ownerLockChannel;
     private FileLock ownerLock;
     private boolean isOwner;
@@ -280,15 +278,16 @@
         JournalReplay replay = JournalReplay.of(found);
         resumeClock(replay);
         endMillisByKey.putAll(replay.endMillisByKey());
-        lastNumber = replay.lastNumber();
-        int newest = found.isEmpty() ? 0 : JournalSegments.number(found.get(found.size() - 1));
+        int newest = found.isEmpty() ? SegmentNumbers.NONE : JournalSegments.number(found.get(found.size() - 1));
         if (!isOwner) {
-            // The other process still writes its segments: only its highest numbers are needed here.
-            firstSegment = newest + SUCCESSOR_SEGMENT_OFFSET;
-            lastNumber += SUCCESSOR_NUMBER_OFFSET;
+            // The other process still writes its segments: only the numbers that it uses are needed here.
+            firstSegment = SegmentNumbers.plus(newest, SUCCESSOR_SEGMENT_OFFSET);
+            numbers = MessageNumbers.apartFrom(replay.usedNumberRanges());
             segments = new JournalSegments(folder, firstSegment);
             LOG.atInfo()
                     .addKeyValue("segments", found.size())
+                    .addKeyValue("first_segment", firstSegment)
+                    .addKeyValue("number_range", numbers.range())
                     .log("journal: another process owns the folder; what it owes is taken up once it ends");
             return;
         }
@@ -296,7 +295,15 @@
         for (Path path : found) {
             segments.addOwn(path);
         }
-        replay.unfinished().forEach((number, entry) -> unfinished.put(number, entry.afterRestart()));
+        numbers = new MessageNumbers(replay.lastNumberRange());
+        replay.unfinished().values().forEach(this::adopt);
+    }
+
+    /** Adds a message of an earlier process under a new number, which becomes valid with the next snapshot. */
+    private UnfinishedMessage adopt(UnfinishedMessage other) {
+        UnfinishedMessage entry = other.afterRestart().withNumber(numbers.next(unfinished::containsKey));
+        unfinished.put(entry.number(), entry);
+        return entry;
     }
 
     private static void resumeClock(JournalReplay replay) {
@@ -355,8 +362,7 @@
         JournalReplay replay = JournalReplay.of(otherSegments);
         List<UnfinishedMessage> takenOver = new ArrayList<>();
         for (UnfinishedMessage otherEntry : replay.unfinished().values()) {
-            UnfinishedMessage entry = otherEntry.afterRestart().withNumber(++lastNumber);
-            unfinished.put(entry.number(), entry);
+            UnfinishedMessage entry = adopt(otherEntry);
             snapshotBytes += entry.sizeBytes();
             takenOver.add(entry);
         }
@@ -367,7 +373,7 @@
             segments.addOwn(path);
         }
         // from now on a snapshot replaces the other segments too
-        firstSegment = 0;
+        firstSegment = SegmentNumbers.NONE;
         snapshotNeeded = true;
         // removes the other segments after the new one is complete
         writeSnapshotIfNeeded();
@@ -421,23 +427,24 @@
     /**
      * Records that an RPC of the class is accepted.
      *
-     * @return the number of the new message, or -1 if it cannot be written and must not be accepted
+     * @return the number of the new message
+     * @throws JournalUnavailableException if it is not written and must not be accepted
      */
     public synchronized int writeAccepted(RpcRequest request, String className) {
+        int number = numbers.next(unfinished::containsKey);
         UnfinishedMessage entry =
-                new UnfinishedMessage(lastNumber + 1, request, className, SteadyClock.micros(), 0, null, null, null);
+                new UnfinishedMessage(number, request, className, SteadyClock.micros(), 0, null, null, null);
         long size = entry.sizeBytes();
         if (!hasRoom(size)) {
             // a snapshot in a new segment frees the room of finished messages
             snapshotNeeded = true;
         }
         if (!writeSnapshotIfNeeded() || !hasRoom(size) || !append(JournalRecords.accepted(entry))) {
-            return -1;
+            throw new JournalUnavailableException(null);
         }
-        lastNumber++;
-        unfinished.put(entry.number(), entry);
+        unfinished.put(number, entry);
         snapshotBytes += size;
-        return entry.number();
+        return number;
     }
 
     private boolean hasRoom(long size) {
@@ -627,7 +634,7 @@
             return expired;
         });
         ByteArrayOutputStream bytes = new ByteArrayOutputStream();
-        bytes.writeBytes(JournalRecords.snapshotBegins(firstSegment, SteadyClock.mark()));
+        bytes.writeBytes(JournalRecords.snapshotBegins(firstSegment, SteadyClock.mark(), numbers.range()));
         endMillisByKey.forEach((key, endMillis) -> bytes.writeBytes(JournalRecords.rememberedKey(key, endMillis)));
         for (UnfinishedMessage entry : unfinished.values()) {
             bytes.writeBytes(JournalRecords.accepted(entry));
--- a/src/main/java/juniperusher/core/JournalRecords.java
+++ b/src/main/java/juniperusher/core/JournalRecords.java
@@ -67,13 +67,16 @@
      *
      * @param firstSegment the snapshot replaces all of its writer's segments from this number on
      * @param clockMark lets the next process resume the steady clock
+     * @param numberRange the range from which its writer allocates message numbers
      */
-    static byte[] snapshotBegins(int firstSegment, SteadyClock.Mark clockMark) {
+    static byte[] snapshotBegins(int firstSegment, SteadyClock.Mark clockMark, int numberRange) {
         return record(SNAPSHOT_BEGINS, out -> {
             out.writeInt(firstSegment);
             out.writeUTF(clockMark.boot());
             out.writeLong(clockMark.nanos());
             out.writeLong(clockMark.millis());
+            // earlier versions do not know the fields from here on
+            out.writeInt(numberRange);
         });
     }
 
@@ -86,6 +89,11 @@
         return new SteadyClock.Mark(in.readUTF(), in.readLong(), in.readLong());
     }
 
+    /** Reads the range of message numbers in a snapshot's first record, after its clock mark. */
+    static int numberRange(DataInputStream in) throws IOException {
+        return in.available() > 0 ? in.readInt() : MessageNumbers.FIRST_RANGE;
+    }
+
     static byte[] rememberedKey(String key, long endMillis) {
         return record(REMEMBERED_KEY, out -> {
             out.writeUTF(key);
--- a/src/main/java/juniperusher/core/JournalReplay.java
+++ b/src/main/java/juniperusher/core/JournalReplay.java
@@ -7,9 +7,11 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import juniperusher.clock.SteadyClock;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -25,7 +27,8 @@
     // number of the segment in which each message was accepted
     private final Map<Integer, Integer> acceptingSegments = new HashMap<>();
     private final Map<String, Long> endMillisByKey = new LinkedHashMap<>();
-    private int lastNumber;
+    private final Set<Integer> usedNumberRanges = new HashSet<>();
+    private int lastNumberRange = MessageNumbers.FIRST_RANGE;
     private SteadyClock.Mark clockMark; // the last one read, or null
     private Map<Integer, Journal.UnfinishedMessage>
             snapshotEntries; // messages of the snapshot being read, or null outside of one
@@ -40,6 +43,8 @@
             replay.replaySegment(Files.readAllBytes(path));
             replay.snapshotEntries = null; // a snapshot that the segment cuts off is ignored
         }
+        replay.usedNumberRanges.add(replay.lastNumberRange);
+        replay.unfinished.replaceAll((number, entry) -> number < 0 ? endOfOverflowed(entry) : entry);
         return replay;
     }
 
@@ -53,9 +58,14 @@
         return endMillisByKey;
     }
 
-    /** The highest message number. */
-    int lastNumber() {
-        return lastNumber;
+    /** The range of message numbers of the process that wrote the newest snapshot. */
+    int lastNumberRange() {
+        return lastNumberRange;
+    }
+
+    /** The ranges of all message numbers that were read, and of the processes that wrote the segments. */
+    Set<Integer> usedNumberRanges() {
+        return usedNumberRanges;
     }
 
     /** The newest clock mark, or null. */
@@ -96,6 +106,8 @@
                 firstReplacedSegment = number;
                 snapshotEntries = new LinkedHashMap<>();
                 clockMark = JournalRecords.clockMark(in);
+                lastNumberRange = JournalRecords.numberRange(in);
+                usedNumberRanges.add(lastNumberRange);
             }
             case JournalRecords.SNAPSHOT_ENDS -> applySnapshot();
             case JournalRecords.ACCEPTED -> addAccepted(number, JournalRecords.accepted(number, in));
@@ -107,7 +119,7 @@
         if (snapshotEntries == null) {
             return;
         }
-        unfinished.keySet().removeIf(number -> acceptingSegments.get(number) >= firstReplacedSegment);
+        unfinished.keySet().removeIf(number -> isReplaced(acceptingSegments.get(number)));
         snapshotEntries.forEach((number, entry) -> {
             unfinished.put(number, entry);
             acceptingSegments.put(number, segmentNumber);
@@ -115,6 +127,23 @@
         snapshotEntries = null;
     }
 
+    private boolean isReplaced(int segment) {
+        return firstReplacedSegment == SegmentNumbers.NONE
+                || SegmentNumbers.compare(segment, firstReplacedSegment) >= 0;
+    }
+
+    /**
+     * Earlier versions let message numbers overflow. A message with a negative number was either refused although it
+     * was written, or taken over from another process. If it was never sent, returning it is right for both.
+     */
+    private static Journal.UnfinishedMessage endOfOverflowed(Journal.UnfinishedMessage entry) {
+        if (entry.end() != null || entry.attempts() > 0) {
+            return entry;
+        }
+        RpcRequest request = entry.request();
+        return entry.withEnd(new RpcEnd(request.id(), request.returnAddress(), RpcEnd.Kind.HANDED_BACK, 0));
+    }
+
     private Map<Integer, Journal.UnfinishedMessage> currentEntries() {
         return snapshotEntries == null ? unfinished : snapshotEntries;
     }
@@ -124,7 +153,7 @@
         if (snapshotEntries == null) {
             acceptingSegments.put(number, segmentNumber);
         }
-        lastNumber = Math.max(lastNumber, number);
+        MessageNumbers.addRangesOf(number, usedNumberRanges);
     }
 
     private void replayStep(byte type, int number, DataInputStream in) throws IOException {
--- a/src/main/java/juniperusher/core/JournalSegments.java
+++ b/src/main/java/juniperusher/core/JournalSegments.java
@@ -28,11 +28,12 @@
     private static final String PREFIX = "journal-";
 
     private final Path folder;
-    private final TreeMap<Integer, Long> bytesByNumber = new TreeMap<>(); // sizes of this writer's segments
+    // sizes of this writer's segments, the oldest first
+    private final TreeMap<Integer, Long> bytesByNumber = new TreeMap<>(SegmentNumbers::compare);
     private FileChannel openSegment; // null if no segment can be appended to
     private int lastNumber;
 
-    /** Creates a writer without segments of its own. New segments get numbers above {@code lastNumber}. */
+    /** Creates a writer without segments of its own. New segments get the numbers after {@code lastNumber}. */
     JournalSegments(Path folder, int lastNumber) {
         this.folder = folder;
         this.lastNumber = lastNumber;
@@ -42,7 +43,7 @@
     static List<Path> all(Path folder) throws IOException {
         try (Stream<Path> paths = Files.list(folder)) {
             return paths.filter(path -> path.getFileName().toString().matches(PREFIX + "\\d{8,9}"))
-                    .sorted(Comparator.comparingInt(JournalSegments::number))
+                    .sorted(Comparator.comparing(JournalSegments::number, SegmentNumbers::compare))
                     .toList();
         }
     }
@@ -59,7 +60,9 @@
     /** Adds an existing segment to this writer's own, so that the next {@link #replace} removes it. */
     void addOwn(Path segment) throws IOException {
         bytesByNumber.put(number(segment), Files.size(segment));
-        lastNumber = Math.max(lastNumber, number(segment));
+        if (SegmentNumbers.compare(number(segment), lastNumber) > 0) {
+            lastNumber = number(segment);
+        }
     }
 
     /** Whether the segment belongs to this writer. */
@@ -67,11 +70,6 @@
         return bytesByNumber.containsKey(number(segment));
     }
 
-    /** Highest segment number used so far. */
-    int lastNumber() {
-        return lastNumber;
-    }
-
     /** Total size of this writer's segments in bytes. */
     long bytes() {
         return bytesByNumber.values().stream().mapToLong(size -> size).sum();
@@ -119,7 +117,8 @@
      * the old ones stay and the open one is still appended to.
      */
     void replace(byte[] content) throws IOException {
-        int number = ++lastNumber;
+        int number = SegmentNumbers.plus(lastNumber, 1);
+        lastNumber = number;
         FileChannel segment = null;
         try {
             segment = FileChannel.open(path(number), StandardOpenOption.CREATE_NEW, StandardOpenOption.WRITE);
@@ -156,7 +155,7 @@
      * before the one that accepted it.
      */
     private void removeOlderThan(int number) {
-        while (bytesByNumber.firstKey() < number) {
+        while (SegmentNumbers.compare(bytesByNumber.firstKey(), number) < 0) {
             Map.Entry<Integer, Long> oldest = bytesByNumber.firstEntry();
             try {
                 Files.deleteIfExists(path(oldest.getKey()));
--- a/src/main/java/juniperusher/core/JournalUnavailableException.java
+++ b/src/main/java/juniperusher/core/JournalUnavailableException.java
@@ -4,7 +4,7 @@
  * The journal could not record a step that must be recorded before it happens. The step must not happen now and may be
  * tried again later.
  */
-final class JournalUnavailableException extends RuntimeException {
+public final class JournalUnavailableException extends RuntimeException {
     private static final long serialVersionUID = 1;
 
     JournalUnavailableException(Throwable cause) {
--- a/src/main/java/juniperusher/core/Relay.java
+++ b/src/main/java/juniperusher/core/Relay.java
@@ -378,8 +378,10 @@
     }
 
     private void accept(RpcRequest request, MessageClass messageClass, Channel channel) {
-        int number = journal.writeAccepted(request, messageClass.name());
-        if (number < 0) {
+        int number;
+        try {
+            number = journal.writeAccepted(request, messageClass.name());
+        } catch (JournalUnavailableException e) {
             admittedCount.decrementAndGet();
             refuse(request, channel, "disk");
             return;
--- a/src/test/java/juniperusher/core/JournalSegmentsTest.java
+++ b/src/test/java/juniperusher/core/JournalSegmentsTest.java
@@ -6,6 +6,7 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
 import org.testng.annotations.Test;
@@ -88,4 +89,45 @@
         successor.writeAccepted(request("successors"), "c");
         assertEquals(unfinishedIds(folder), List.of("owners", "successors"));
     }
+
+    // Guards against refused messages in the journal of an earlier version, whose message numbers could overflow: a new
+    // process sent them.
+    @Test
+    public void neverSentMessageWithANegativeNumberIsReturned() throws IOException {
+        Path folder = Files.createTempDirectory("segments");
+        Journal.UnfinishedMessage refused =
+                new Journal.UnfinishedMessage(Integer.MIN_VALUE + 5, request("refused"), "c", 0, 0, null, null, null);
+        Files.write(folder.resolve("journal-00000001"), JournalRecords.accepted(refused));
+        Journal.UnfinishedMessage recovered =
+                new Journal(folder, DISK_BYTES, 10).recovered().get(0);
+        assertEquals(recovered.end().kind(), RpcEnd.Kind.HANDED_BACK);
+        assertTrue(recovered.number() > 0, "number " + recovered.number());
+    }
+
+    // Guards against segment numbers that outgrow the digits of a segment's name, so that a restart reads no journal.
+    @Test
+    public void messagesOutlastTheHighestSegmentNumber() throws Exception {
+        Path folder = Files.createTempDirectory("segments");
+        new Journal(folder, DISK_BYTES, 10).close();
+        Files.move(newestSegment(folder), folder.resolve("journal-999999998"));
+        List<String> accepted = new ArrayList<>();
+        Journal owner = new Journal(folder, DISK_BYTES, 10);
+        for (int upgrade = 1; upgrade <= 3; upgrade++) {
+            Journal successor = new Journal(folder, DISK_BYTES, 10, true);
+            accepted.add("before-" + upgrade);
+            owner.writeAccepted(request("before-" + upgrade), "c");
+            accepted.add("during-" + upgrade);
+            successor.writeAccepted(request("during-" + upgrade), "c");
+            assertEquals(unfinishedIds(folder).stream().sorted().toList(), sorted(accepted), "upgrade " + upgrade);
+            owner.close();
+            successor.takeOverFromPredecessor();
+            successor.close();
+            owner = new Journal(folder, DISK_BYTES, 10);
+            assertEquals(unfinishedIds(folder).stream().sorted().toList(), sorted(accepted), "restart " + upgrade);
+        }
+    }
+
+    private static List<String> sorted(List<String> ids) {
+        return ids.stream().sorted().toList();
+    }
 }
--- a/src/test/java/juniperusher/core/JournalTest.java
+++ b/src/test/java/juniperusher/core/JournalTest.java
@@ -123,7 +123,7 @@
         Path folder = Files.createTempDirectory("journal");
         Journal journal = new Journal(folder, DISK_BYTES, 100);
         int accepted = 0;
-        while (journal.writeAccepted(request("m" + accepted, false, 64 * 1024), "c") > 0) {
+        while (accepts(journal, request("m" + accepted, false, 64 * 1024))) {
             accepted++;
             assertTrue(folderBytes(folder) <= DISK_BYTES, "more bytes than allowed");
         }
@@ -137,6 +137,15 @@
         assertTrue(folderBytes(folder) <= DISK_BYTES, "more bytes than allowed after a restart");
     }
 
+    private static boolean accepts(Journal journal, RpcRequest request) {
+        try {
+            journal.writeAccepted(request, "c");
+            return true;
+        } catch (JournalUnavailableException e) {
+            return false;
+        }
+    }
+
     @Test
     public void finishedMessagesFreeRoom() throws IOException {
         Path folder = Files.createTempDirectory("journal");
--- a/src/test/java/juniperusher/core/TakeOverTest.java
+++ b/src/test/java/juniperusher/core/TakeOverTest.java
@@ -7,6 +7,7 @@
 
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
@@ -74,6 +75,61 @@
         assertEquals(idsAfterRestart, List.of("late", "own", "sent", "waiting"));
     }
 
+    /** Accepts a message in the journal; returns false if it is refused. */
+    private static boolean accepts(Journal journal, String id) {
+        try {
+            return journal.writeAccepted(request(id, false), "c") > 0;
+        } catch (JournalUnavailableException e) {
+            return false;
+        }
+    }
+
+    private static List<String> idsIn(Path folder) throws Exception {
+        return Journal.read(folder).stream()
+                .map(entry -> entry.request().id())
+                .sorted()
+                .toList();
+    }
+
+    // Guards against message numbers that grow with each upgrade until they overflow: the message was refused but
+    // stayed
+    // in the journal, and the next process sent it.
+    @Test
+    public void messagesAreAcceptedAfterAnyNumberOfUpgrades() throws Exception {
+        Path folder = Files.createTempDirectory("upgrades");
+        Journal owner = new Journal(folder, DISK_BYTES, 1_000);
+        List<String> accepted = new ArrayList<>();
+        for (int upgrade = 1; upgrade <= 300; upgrade++) {
+            Journal successor = new Journal(folder, DISK_BYTES, 1_000, true);
+            owner.close();
+            successor.takeOverFromPredecessor();
+            owner = successor;
+            String id = String.format("after-%03d", upgrade);
+            boolean isAccepted = accepts(owner, id);
+            if (isAccepted) {
+                accepted.add(id);
+            }
+            assertEquals(idsIn(folder), accepted, "written after upgrade " + upgrade + ", accepted: " + isAccepted);
+        }
+        assertEquals(accepted.size(), 300, "messages accepted");
+    }
+
+    // Guards against two processes of an upgrade that use one message number: a restart after both were killed found
+    // only
+    // one of their messages.
+    @Test
+    public void successorAvoidsTheNumbersOfAnOwnerThatHasAcceptedNothingYet() throws Exception {
+        Path folder = Files.createTempDirectory("quiet");
+        Journal first = new Journal(folder, DISK_BYTES, 100);
+        Journal owner = new Journal(folder, DISK_BYTES, 100, true);
+        first.close();
+        owner.takeOverFromPredecessor();
+        Journal successor = new Journal(folder, DISK_BYTES, 100, true);
+        owner.writeAccepted(request("owners", false), "c");
+        successor.writeAccepted(request("successors", false), "c");
+        assertEquals(idsIn(folder), List.of("owners", "successors"));
+    }
+
     @Test
     public void delaysAreSharedAndNeverShortened() throws Exception {
         Path folder = Files.createTempDirectory("waits");
