A configuration file that lacks a key is refused whole, at SIGHUP and at a start

Cause: SettingsParser had a default for most keys, and the default was the least strict value: a missing group, or one that cannot be read, counted as 'all'. Nothing compared the file with the one in force, so Config.reloadedSettings put the guess in force.

Evidence: the new test of ReloadTest removes each key of the file in turn.

At SIGHUP a file also needs each key of the file with which the relay started (ConfigKeys), whether or not the program reads it. Names of classes are unique. 'cell', which is not used, is read as 'zone', the stricter group.

WireTest's settings got the keys that its checks now need, and lost none.

--- a/src/main/java/juniperusher/http/Config.java
+++ b/src/main/java/juniperusher/http/Config.java
@@ -11,6 +11,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import juniperusher.Protocol;
 import juniperusher.sim.MalformedInputException;
 import juniperusher.sim.SettingsParser;
@@ -36,6 +37,7 @@
  * @param relayIndex the index of this relay in {@code peers}
  * @param operatorAddress the address on which operators connect, from {@code RELAY_MGMT} or else from the file's
  *     {@code mgmt}; or null
+ * @param keys the keys of the file with which the relay started; a newer file needs them too
  */
 public record Config(
         String name,
@@ -54,7 +56,8 @@
         List<String> zoneNames,
         double minRoundGapSeconds,
         int relayIndex,
-        InetSocketAddress operatorAddress) {
+        InetSocketAddress operatorAddress,
+        ConfigKeys keys) {
 
     /**
      * Reads a configuration file.
@@ -82,10 +85,6 @@
         if (json.get("peers") != null) {
             json.get("peers").asArray().forEach(peer -> peers.add(address(peer.asString())));
         }
-        List<String> classes = new ArrayList<>();
-        settings.get("requestClasses")
-                .asArray()
-                .forEach(c -> classes.add(c.asObject().getString("name", "")));
         return new Config(
                 json.getString("name", ""),
                 address(json.get("listen").asString()),
@@ -98,19 +97,39 @@
                 optionalAddress(json.get("peers_all")),
                 json.get("known").asObject(),
                 SettingsParser.parse(lines.toString()),
-                classes,
-                names(settings.get("kinds")),
-                names(settings.get("azs")),
-                settings.getDouble("quantumS", 0.005),
-                settings.getInt("me", 0),
-                operatorAddress(json.get("mgmt")));
+                classNames(settings.get("requestClasses").asArray()),
+                names(required(settings, "kinds")),
+                names(required(settings, "azs")),
+                required(settings, "quantumS").asDouble(),
+                required(settings, "me").asInt(),
+                operatorAddress(json.get("mgmt")),
+                ConfigKeys.of(json));
+    }
+
+    /** The names of the classes. Requests and journals identify classes by name, so each name occurs once. */
+    private static List<String> classNames(JsonArray classes) {
+        List<String> names = new ArrayList<>();
+        for (JsonValue each : classes) {
+            String name = each.asObject().getString("name", "");
+            if (name.isEmpty() || names.contains(name)) {
+                throw new IllegalArgumentException("requestClasses: the name '" + name + "' is empty or occurs twice");
+            }
+            names.add(name);
+        }
+        return names;
     }
 
     /**
      * This configuration with what may change while a relay runs taken from a newer file: the addresses of discovery
      * and of peers, the classes and the limits. The rest of that file takes effect at the next start.
+     *
+     * @throws IllegalArgumentException if the newer file is incomplete; the message says why in one line
      */
     Config reloadedFrom(Config newer) {
+        Set<String> missing = keys.missingIn(newer.keys);
+        if (!missing.isEmpty()) {
+            throw new IllegalArgumentException("the newer configuration lacks " + String.join(", ", missing));
+        }
         return new Config(
                 name,
                 listen,
@@ -128,7 +147,8 @@
                 zoneNames,
                 minRoundGapSeconds,
                 relayIndex,
-                operatorAddress);
+                operatorAddress,
+                keys);
     }
 
     /** The names of these classes at their present indexes, then those that only the newer file has. */
@@ -195,14 +215,23 @@
                 zoneNames,
                 minRoundGapSeconds,
                 relayIndex,
-                null);
+                null,
+                keys);
+    }
+
+    private static JsonValue required(JsonObject settings, String key) {
+        JsonValue value = settings.get(key);
+        if (value == null) {
+            throw new IllegalArgumentException("settings: " + key + " is missing");
+        }
+        return value;
     }
 
     private static List<String> names(JsonValue value) {
         List<String> out = new ArrayList<>();
-        if (value != null && value.isArray()) {
+        if (value.isArray()) {
             value.asArray().forEach(name -> out.add(name.asString()));
-        } else if (value != null) {
+        } else {
             out.addAll(List.of(value.asString().split(",")));
         }
         return out;
--- a/src/main/java/juniperusher/http/RelayServer.java
+++ b/src/main/java/juniperusher/http/RelayServer.java
@@ -312,19 +312,20 @@
 
     /**
      * Reloads the configuration on SIGHUP: addresses, classes and limits change in one step, and pending RPCs stay.
-     * A file that cannot be read or parsed changes nothing and is logged in one line.
+     * A file that cannot be read or is incomplete changes nothing and is logged in one line.
      */
     public void reload(Path file) {
+        Config before = config.get();
         Config newer;
+        Config after;
         try {
             newer = Config.read(file);
+            after = before.reloadedFrom(newer);
         } catch (IOException | IllegalArgumentException e) {
             LOG.error("reload failed; keeping the active configuration: {}", e.getMessage());
             counters.add("reloads_total", "result", "refused");
             return;
         }
-        Config before = config.get();
-        Config after = before.reloadedFrom(newer);
         if (!after.parsedSettings().settings().equals(before.parsedSettings().settings())) {
             // The relay must know a new class before the front accepts its first message.
             relay.updateSettings(after.parsedSettings().settings());
--- a/src/main/java/juniperusher/sim/SettingsParser.java
+++ b/src/main/java/juniperusher/sim/SettingsParser.java
@@ -13,7 +13,10 @@
 import juniperusher.Protocol.Tenant;
 import juniperusher.Protocol.Weight;
 
-/** Parses the start-up settings: one path=value per line. Unknown keys are ignored. */
+/**
+ * Parses the start-up settings: one path=value per line. Unknown keys are ignored. Only a key that complete settings may
+ * lack has a default value: a guess at any other could loosen a rule.
+ */
 public final class SettingsParser {
     private final Map<String, String> values = new HashMap<>();
 
@@ -49,7 +52,7 @@
         SettingsParser parser = new SettingsParser(text);
         try {
             List<String> fields =
-                    List.of(parser.values.getOrDefault("loadReport.fields", "").split(","));
+                    List.of(parser.requiredSetting("loadReport.fields").split(","));
             return new ParsedSettings(parser.settings(), fields.indexOf("x0"), fields.indexOf("x1"));
         } catch (IllegalArgumentException e) {
             throw new MalformedInputException("settings: " + e.getMessage());
@@ -64,7 +67,7 @@
                 doubleSetting("obligations.tipMultiple"),
                 doubleSetting("obligations.tipAfterS"),
                 doubleSetting("obligations.keyQuietS", 0),
-                doubleSetting("obligations.askWithinS", 0));
+                doubleSetting("obligations.askWithinS"));
         SenderLimits limits = new SenderLimits(
                 intSetting("allowed.maxAttempts"),
                 intSetting("allowed.mostHeld"),
@@ -74,17 +77,17 @@
                 booleanSetting("allowed.probes"),
                 booleanSetting("allowed.peerMessages"),
                 booleanSetting("allowed.retryAfter"),
-                doubleSetting("allowed.maxRetryAfterS", 0),
+                doubleSetting("allowed.maxRetryAfterS"),
                 doubleSetting("allowed.dialTimeoutS"),
-                doubleSetting("allowed.keepaliveS", 0));
+                doubleSetting("allowed.keepaliveS"));
         return new Settings(
                 intSetting("peersTotal"),
-                (int) doubleSetting("locality", 0),
-                requiredSetting("membershipMode").equals("ask"),
+                intSetting("locality"),
+                watchesList(),
                 weight(),
-                doubleSetting("overShareWorth", 1),
-                values.getOrDefault("familyInfo.late", "").equals("halving"),
-                doubleSetting("fees.crossZone", 0),
+                doubleSetting("overShareWorth"),
+                requiredSetting("familyInfo.late").equals("halving"),
+                doubleSetting("fees.crossZone"),
                 routeFees(),
                 rules,
                 limits,
@@ -105,28 +108,45 @@
                         default -> throw unreadableSetting(prefix + "effect");
                     };
             classes.add(new MessageClass(
-                    values.getOrDefault(prefix + "name", ""),
+                    requiredSetting(prefix + "name"),
                     effect,
-                    "zone".equals(values.get(prefix + "group")),
-                    doubleSetting(prefix + "keyTtlS", 0),
+                    zoneOnly(prefix + "group"),
+                    doubleSetting(prefix + "keyTtlS"),
                     booleanSetting(prefix + "sequential", false),
                     doubleSetting(prefix + "objectiveS"),
                     doubleSetting(prefix + "deadlineS"),
                     doubleSetting(prefix + "worth"),
-                    doubleSetting(prefix + "lateValue", 0)));
+                    doubleSetting(prefix + "lateValue")));
         }
         return classes;
     }
 
+    private boolean zoneOnly(String key) {
+        return switch (requiredSetting(key)) {
+            case "all" -> false;
+            // The cell of an endpoint is that of its destination, so the zone is the stricter of the two groups.
+            case "zone", "cell" -> true;
+            default -> throw unreadableSetting(key);
+        };
+    }
+
+    private boolean watchesList() {
+        return switch (requiredSetting("membershipMode")) {
+            case "ask" -> true;
+            case "push" -> false;
+            default -> throw unreadableSetting("membershipMode");
+        };
+    }
+
     private List<DestinationKind> kinds() {
-        String[] batches = values.getOrDefault("familyInfo.batchByKind", "").split(",");
-        String[] apartFlags = values.getOrDefault("familyInfo.kindApart", "").split(",");
+        String[] batches = requiredSetting("familyInfo.batchByKind").split(",");
+        String[] apartFlags = requiredSetting("familyInfo.kindApart").split(",");
         List<DestinationKind> kinds = new ArrayList<>();
         for (int i = 0; i < Math.max(batches.length, apartFlags.length); i++) {
             String batch = i < batches.length && !batches[i].isEmpty() ? batches[i] : "1";
             try {
                 kinds.add(new DestinationKind(
-                        (int) Double.parseDouble(batch), i < apartFlags.length && apartFlags[i].equals("true")));
+                        (int) Double.parseDouble(batch), i < apartFlags.length && isApart(apartFlags[i])));
             } catch (NumberFormatException e) {
                 throw unreadableSetting("familyInfo.batchByKind");
             }
@@ -134,9 +154,17 @@
         return kinds;
     }
 
+    private boolean isApart(String flag) {
+        return switch (flag) {
+            case "true" -> true;
+            case "false", "" -> false;
+            default -> throw unreadableSetting("familyInfo.kindApart");
+        };
+    }
+
     private List<Double> routeFees() {
         List<Double> fees = new ArrayList<>();
-        for (String fee : values.getOrDefault("familyInfo.feeByZone", "").split(",")) {
+        for (String fee : requiredSetting("familyInfo.feeByZone").split(",")) {
             try {
                 fees.add(fee.isEmpty() ? 0 : Double.parseDouble(fee));
             } catch (NumberFormatException e) {
@@ -148,9 +176,10 @@
 
     private List<Tenant> tenants() {
         List<Tenant> tenants = new ArrayList<>();
-        for (int i = 0; i < doubleSetting("tenants.count", 0); i++) {
+        int count = values.containsKey("tenants.count") ? intSetting("tenants.count") : noTenants();
+        for (int i = 0; i < count; i++) {
             String prefix = "tenants." + i + ".";
-            tenants.add(new Tenant(values.getOrDefault(prefix + "name", ""), doubleSetting(prefix + "quotaPerS", 0)));
+            tenants.add(new Tenant(requiredSetting(prefix + "name"), doubleSetting(prefix + "quotaPerS")));
         }
         if (!tenants.isEmpty()) {
             tenants.add(new Tenant("", 0)); // clients not listed have a quota of 0: all their messages exceed it
@@ -158,8 +187,16 @@
         return tenants;
     }
 
+    /** The number of tenants if the list of them is empty; an empty list is written without a count. */
+    private int noTenants() {
+        if (!requiredSetting("tenants").isEmpty()) {
+            throw unreadableSetting("tenants");
+        }
+        return 0;
+    }
+
     private Weight weight() {
-        return switch (values.getOrDefault("weightSource", "off")) {
+        return switch (requiredSetting("weightSource")) {
             case "nominal" -> Weight.NOMINAL;
             case "rough" -> Weight.ROUGH;
             default -> Weight.NONE;
@@ -175,11 +212,16 @@
     }
 
     private double doubleSetting(String key) {
+        double value;
         try {
-            return Double.parseDouble(requiredSetting(key));
+            value = Double.parseDouble(requiredSetting(key));
         } catch (NumberFormatException e) {
             throw unreadableSetting(key);
         }
+        if (!Double.isFinite(value)) {
+            throw unreadableSetting(key);
+        }
+        return value;
     }
 
     private double doubleSetting(String key, double defaultValue) {
--- a/src/test/java/juniperusher/http/ReloadTest.java
+++ b/src/test/java/juniperusher/http/ReloadTest.java
@@ -3,10 +3,12 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
+import static org.testng.Assert.expectThrows;
 
 import com.eclipsesource.json.Json;
 import com.eclipsesource.json.JsonArray;
 import com.eclipsesource.json.JsonObject;
+import com.eclipsesource.json.JsonValue;
 import java.io.InputStream;
 import java.io.OutputStream;
 import java.net.InetAddress;
@@ -14,6 +16,7 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 import juniperusher.Protocol.Effect;
 import juniperusher.core.Counters;
@@ -109,6 +112,86 @@
         }
     }
 
+    // Guards against a file at SIGHUP that lacks a key and is put in force all the same: without a class's group,
+    // messages
+    // that may have run in one zone went to another.
+    @Test
+    public void aFileThatLacksAnyKeyOfTheOneInForceIsRejected() throws Exception {
+        Path folder = Files.createTempDirectory("incomplete");
+        JsonObject whole = baseFile(FakeServer.unusedPort());
+        Config inForce = Config.read(Files.writeString(folder.resolve("a.json"), whole.toString()));
+        List<String> accepted = new ArrayList<>();
+        for (String without : filesWithoutOneKey(whole)) {
+            try {
+                inForce.reloadedFrom(Config.read(Files.writeString(folder.resolve("b.json"), without)));
+                accepted.add(without);
+            } catch (IllegalArgumentException e) {
+                assertFalse(e.getMessage().contains("\n"), "more than one line: " + e.getMessage());
+            }
+        }
+        assertEquals(accepted, List.of(), "incomplete files that were put in force");
+        inForce.reloadedFrom(Config.read(Files.writeString(folder.resolve("b.json"), whole.toString())));
+    }
+
+    /** The file without each of its keys in turn, but for those inside the list of endpoints. */
+    private static List<String> filesWithoutOneKey(JsonObject whole) {
+        List<String> files = new ArrayList<>();
+        removeEachKey(whole, () -> files.add(whole.toString()));
+        return files;
+    }
+
+    private static void removeEachKey(JsonValue value, Runnable withoutOneKey) {
+        if (value.isArray()) {
+            value.asArray().forEach(element -> removeEachKey(element, withoutOneKey));
+        } else if (value.isObject()) {
+            for (String key : List.copyOf(value.asObject().names())) {
+                JsonValue removed = value.asObject().get(key);
+                value.asObject().remove(key);
+                withoutOneKey.run();
+                value.asObject().add(key, removed);
+                if (!key.equals("known")) {
+                    removeEachKey(removed, withoutOneKey);
+                }
+            }
+        }
+    }
+
+    @Test
+    public void aFileMayLackOptionalKeysAndTenants() throws Exception {
+        Path folder = Files.createTempDirectory("optional");
+        JsonObject whole = baseFile(FakeServer.unusedPort());
+        String withoutThem = whole.toString();
+        JsonObject settings = whole.get("settings").asObject();
+        settings.get("obligations").asObject().set("keyQuietS", 0.5);
+        settings.set(
+                "tenants",
+                new JsonArray()
+                        .add(new JsonObject().add("name", "a").add("share", 1.0).add("quotaPerS", 5)));
+        settings.get("requestClasses")
+                .asArray()
+                .forEach(one -> one.asObject().set("sequential", true).set("aimStretch", 1.0));
+        Config inForce = Config.read(Files.writeString(folder.resolve("a.json"), whole.toString()));
+        Config after = inForce.reloadedFrom(Config.read(Files.writeString(folder.resolve("b.json"), withoutThem)));
+        assertFalse(after.parsedSettings().settings().classes().get(0).ordered());
+    }
+
+    @Test
+    public void classNamesHaveToBeUnique() throws Exception {
+        Path folder = Files.createTempDirectory("twice");
+        JsonObject twice = baseFile(FakeServer.unusedPort());
+        twice.get("settings")
+                .asObject()
+                .get("requestClasses")
+                .asArray()
+                .get(0)
+                .asObject()
+                .set("name", "ordem-build");
+        Path file = Files.writeString(folder.resolve("a.json"), twice.toString());
+        String message = expectThrows(IllegalArgumentException.class, () -> Config.read(file))
+                .getMessage();
+        assertTrue(message.contains("'ordem-build'"), message);
+    }
+
     /** Sends one request on its own connection and returns the status of the answer. */
     private static int submit(int port, String messageClass) throws Exception {
         try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), port)) {
@@ -144,6 +227,18 @@
             relayServer.reload(file);
             assertEquals(submit(listen, "aviso-push-ii"), 202);
             assertTrue(counters.text().contains("juniperusher_reloads_total{result=\"refused\"} 1"), counters.text());
+            JsonObject withoutGroup = newerFile(old);
+            withoutGroup
+                    .get("settings")
+                    .asObject()
+                    .get("requestClasses")
+                    .asArray()
+                    .get(0)
+                    .asObject()
+                    .remove("group");
+            Files.writeString(file, withoutGroup.toString());
+            relayServer.reload(file);
+            assertTrue(counters.text().contains("juniperusher_reloads_total{result=\"refused\"} 2"), counters.text());
         }
     }
 }
--- a/src/test/java/juniperusher/sim/WireTest.java
+++ b/src/test/java/juniperusher/sim/WireTest.java
@@ -32,6 +32,7 @@
             allowed.dialTimeoutS=1.5
             allowed.keepaliveS=10.0
             allowed.maxAttempts=8
+            allowed.maxRetryAfterS=2.0
             allowed.mayCancel=true
             allowed.mostHeld=271
             allowed.parallelTries=true
@@ -39,22 +40,34 @@
             allowed.probes=true
             allowed.retryAfter=true
             familyInfo.batchByKind=10,1
+            familyInfo.feeByZone=0.0
             familyInfo.kindApart=false,false
+            familyInfo.late=halving
             familyInfo.maxCalls=10
+            fees.crossZone=0.0
             loadReport.fields=x0,x1
+            locality=0
             membershipMode=push
+            obligations.askWithinS=10.0
             obligations.coldFrom=0.19
             obligations.drainGraceS=1.0
             obligations.tipAfterS=1.5
             obligations.tipMultiple=2.0
             obligations.warmWithinS=12.0
+            overShareWorth=0.1
             peersTotal=2
             requestClasses.count=1
             requestClasses.0.deadlineS=20.0
             requestClasses.0.effect=idempotent
+            requestClasses.0.group=all
+            requestClasses.0.keyTtlS=5.0
+            requestClasses.0.lateValue=0.1
+            requestClasses.0.name=aviso-push
             requestClasses.0.objectiveS=3.0
             requestClasses.0.worth=2.0
+            tenants=
             unknown.key=ignored
+            weightSource=rough
             """;
 
     private static byte[] hex(String text) {
@@ -210,6 +223,49 @@
         assertEquals(0.0, parsed.settings().rules().keyQuiet());
     }
 
+    // Guards against a missing key that is taken for a value, such as a missing group for the group of all endpoints.
+    @Test
+    void settingsThatLackAnyKeyAreRejected() {
+        SETTINGS.lines().filter(line -> !line.startsWith("unknown.key")).forEach(line -> {
+            String key = line.substring(0, line.indexOf('='));
+            String incomplete = SETTINGS.replace(line + '\n', "");
+            String message = assertThrows(
+                            MalformedInputException.class,
+                            () -> SettingsParser.parse(incomplete),
+                            "read without " + key)
+                    .getMessage();
+            assertEquals("settings: " + key + " is missing", message);
+        });
+    }
+
+    // Guards against an unreadable value that is taken for the least strict one.
+    @Test
+    void unreadableValuesAreRejected() {
+        for (String line : List.of(
+                "requestClasses.0.group=zones",
+                "requestClasses.0.group=",
+                "requestClasses.0.deadlineS=1e999",
+                "requestClasses.0.keyTtlS=NaN",
+                "membershipMode=poll",
+                "familyInfo.kindApart=yes,no",
+                "tenants=a")) {
+            String key = line.substring(0, line.indexOf('='));
+            String message = assertThrows(
+                            MalformedInputException.class, () -> SettingsParser.parse(SETTINGS + line + '\n'), line)
+                    .getMessage();
+            assertTrue(message.startsWith("settings: " + key + " is unreadable"), message);
+        }
+    }
+
+    @Test
+    void groupOfAClassIsParsed() {
+        for (String group : List.of("all", "zone", "cell")) {
+            Settings settings = SettingsParser.parse(SETTINGS + "requestClasses.0.group=" + group + '\n')
+                    .settings();
+            assertEquals(!group.equals("all"), settings.classes().get(0).zoneOnly(), group);
+        }
+    }
+
     @Test
     void routeFeesAndKeepAliveAreParsed() {
         Settings settings = SettingsParser.parse(SETTINGS + "familyInfo.feeByZone=0.01,0.04\n")
