A zone that the settings do not list is a zone of its own

What callers would see: where discovery lists an endpoint in a zone that is not in 'azs', or without a zone, a message of a class with the group 'zone' that may have run in the first listed zone could be sent to it and run twice.

Evidence: EndpointListParserTest on the code before: "zone 0" for an unlisted zone, and one zone for two endpoints that tell none.

--- a/src/main/java/juniperusher/http/EndpointListParser.java
+++ b/src/main/java/juniperusher/http/EndpointListParser.java
@@ -15,6 +15,9 @@
 
 /** Parses the JSON format in which discovery's agent lists endpoints, a full list or a change. Thread-safe. */
 public final class EndpointListParser {
+    // Above the indexes of all listed zones.
+    private static final int UNLISTED_ZONES = 1 << 30;
+
     private final List<String> kinds;
     private final List<String> zones;
 
@@ -74,11 +77,20 @@
                 address,
                 entry.getInt("cell", -1),
                 Math.max(0, kinds.indexOf(text(entry, "kind"))),
-                Math.max(0, zones.indexOf(text(entry, "zone"))),
+                zoneIndex(entry.get("zone") == null ? "endpoint " + id : text(entry, "zone")),
                 entry.getDouble("weight", 1),
                 phase);
     }
 
+    /**
+     * Index of a zone. A zone that the settings do not list gets an index from its name, the same in each process: it
+     * must not count as a listed zone, whose endpoints drop repeats that its own do not.
+     */
+    private int zoneIndex(String name) {
+        int index = zones.indexOf(name);
+        return index >= 0 ? index : UNLISTED_ZONES | name.hashCode() & UNLISTED_ZONES - 1;
+    }
+
     private static String text(JsonObject object, String name) {
         JsonValue value = object.get(name);
         return value != null && value.isString() ? value.asString() : "";
