A broker without a destination in the older AMQP file is refused at the start

What callers would see: with a broker entry that lacks 'destination' in the older JSON file, that broker got the messages of destination 0.

The newer form is checked against its schema, which asks for the key.

Evidence: OperatorSettingsTest's new test fails on the code before, which read the file. The other keys of the older form keep their defaults.

--- a/src/main/java/juniperusher/amqp/AmqpConfig.java
+++ b/src/main/java/juniperusher/amqp/AmqpConfig.java
@@ -77,7 +77,7 @@
                 json.get("brokers") == null ? Json.array() : json.get("brokers").asArray()) {
             JsonObject broker = value.asObject();
             brokers.add(new Broker(
-                    broker.getInt("destination", 0),
+                    destination(broker),
                     broker.getString("name", ""),
                     parseAddress(broker.getString("address", "")),
                     broker.getString("user", "guest"),
@@ -101,6 +101,15 @@
                 brokers);
     }
 
+    private static int destination(JsonObject broker) {
+        JsonValue value = broker.get("destination");
+        if (value == null) {
+            throw new IllegalArgumentException(
+                    "destination is missing: expected the number of the broker's destination");
+        }
+        return value.asInt();
+    }
+
     private static InetSocketAddress parseAddress(String text) {
         int colon = text.lastIndexOf(':');
         if (colon < 1 || !text.substring(colon + 1).matches("\\d{1,5}")) {
--- a/src/test/java/juniperusher/settings/OperatorSettingsTest.java
+++ b/src/test/java/juniperusher/settings/OperatorSettingsTest.java
@@ -132,6 +132,17 @@
         assertEquals(1, message.lines().count());
     }
 
+    // Guards against a broker without a destination that gets the messages of destination 0.
+    @Test
+    void amqpJsonFileWithABrokerWithoutDestinationIsRefusedInOneLine() throws Exception {
+        Path file = Files.writeString(
+                folder.resolve("amqp.json"), "{\"class\":\"own\",\"brokers\":[{\"address\":\"127.0.0.1:5672\"}]}");
+        String message = assertThrows(IllegalArgumentException.class, () -> juniperusher.amqp.AmqpConfig.readFile(file))
+                .getMessage();
+        assertTrue(message.startsWith("amqp.json cannot be read: destination is missing"), message);
+        assertEquals(1, message.lines().count());
+    }
+
     @Test
     void commandLineOverrideReplacesTheFilesValueAndIsValidated() throws Exception {
         TomlReader reader = TomlReader.withSchema(OperatorSettings.class, "operator.schema.json");
