--- a/src/main/java/juniperusher/core/Journal.java
+++ b/src/main/java/juniperusher/core/Journal.java
@@ -604,6 +604,8 @@
             onWriteSucceeded();
             return true;
         } catch (IOException e) {
+            // a closed segment stays closed, so the next step goes to a new one
+            snapshotNeeded |= !segments.isOpen();
             onWriteFailed(e);
             return false;
         }
--- a/src/main/java/juniperusher/core/JournalSegments.java
+++ b/src/main/java/juniperusher/core/JournalSegments.java
@@ -1,6 +1,7 @@
 package juniperusher.core;
 
 import java.io.IOException;
+import java.io.RandomAccessFile;
 import java.nio.ByteBuffer;
 import java.nio.channels.FileChannel;
 import java.nio.file.Files;
@@ -75,6 +76,11 @@
         return bytesByNumber.values().stream().mapToLong(size -> size).sum();
     }
 
+    /** Whether a segment is open that can be appended to. */
+    boolean isOpen() {
+        return openSegment != null;
+    }
+
     /** Appends the record. If it fails, nothing of the record stays in front of later ones. */
     void append(byte[] record) throws IOException {
         if (openSegment == null) {
@@ -99,13 +105,14 @@
     }
 
     private void truncate(int number, long offset) {
-        try {
-            openSegment.truncate(offset);
+        // An interrupt closes the channel, maybe after it has written the whole record; it does not close this file.
+        try (RandomAccessFile file = new RandomAccessFile(path(number).toFile(), "rw")) {
+            file.setLength(offset);
             openSegment.position(offset);
         } catch (IOException e) {
             LOG.atWarn()
                     .addKeyValue("segment", number)
-                    .log("journal: a torn record cannot be cut off; the segment is closed: {}", e.toString());
+                    .log("journal: a segment is closed after a failed write: {}", e.toString());
             close();
             openSegment = null;
             bytesByNumber.put(number, path(number).toFile().length());
--- a/src/test/java/juniperusher/core/JournalTest.java
+++ b/src/test/java/juniperusher/core/JournalTest.java
@@ -137,6 +137,23 @@
         assertTrue(folderBytes(folder) <= DISK_BYTES, "more bytes than allowed after a restart");
     }
 
+    // Guards against a journal without an open segment, which refused every message until some other step was written.
+    @Test
+    public void acceptsMessagesAgainAfterItsSegmentWasClosed() throws Exception {
+        Path folder = Files.createTempDirectory("journal");
+        Journal journal = new Journal(folder, DISK_BYTES, 100);
+        Thread.currentThread().interrupt(); // makes the write fail and closes the segment's channel
+        assertFalse(accepts(journal, request("refused", false, 10)));
+        assertTrue(Thread.interrupted());
+        long untilNanos = System.nanoTime() + 5_000_000_000L;
+        while (!accepts(journal, request("accepted", false, 10))) {
+            assertTrue(System.nanoTime() - untilNanos < 0, "refused for 5 s");
+            Thread.sleep(10);
+        }
+        assertEquals(
+                Journal.read(folder).stream().map(entry -> entry.request().id()).toList(), List.of("accepted"));
+    }
+
     private static boolean accepts(Journal journal, RpcRequest request) {
         try {
             journal.writeAccepted(request, "c");
