--- a/src/main/java/juniperusher/cli/Main.java
+++ b/src/main/java/juniperusher/cli/Main.java
@@ -17,6 +17,7 @@
 import juniperusher.core.Counters;
 import juniperusher.core.Extension;
 import juniperusher.core.Journal;
+import juniperusher.core.UnfinishedMessage;
 import juniperusher.http.Config;
 import juniperusher.http.RelayServer;
 import juniperusher.http.WarmUp;
@@ -244,7 +245,7 @@
 
         @Override
         public int run() throws IOException {
-            for (Journal.UnfinishedMessage message : Journal.read(Path.of(folder))) {
+            for (UnfinishedMessage message : Journal.read(Path.of(folder))) {
                 System.out.println(message.number() + " " + message.request().key() + " dest="
                         + message.request().destination() + " class="
                         + message.request().messageClass()
--- a/src/main/java/juniperusher/core/Journal.java
+++ b/src/main/java/juniperusher/core/Journal.java
@@ -2,15 +2,11 @@
 
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
-import java.nio.channels.FileChannel;
-import java.nio.channels.FileLock;
-import java.nio.channels.OverlappingFileLockException;
 import java.nio.file.AccessDeniedException;
 import java.nio.file.FileAlreadyExistsException;
 import java.nio.file.Files;
 import java.nio.file.NotDirectoryException;
 import java.nio.file.Path;
-import java.nio.file.StandardOpenOption;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -51,7 +47,6 @@
     private static final int SUCCESSOR_SEGMENT_OFFSET = 10_000;
     // A difference of this size between the steady clock and the wall clock is logged at level INFO.
     private static final long CLOCK_STEP_MILLIS = 1_000;
-    private static final String OWNER_LOCK_FILE = "owner";
     // How long a start waits for a folder that cannot be read.
     private static final long OPEN_TIMEOUT_MILLIS = 20_000;
     private static final long OPEN_RETRY_DELAY_MILLIS = 50;
@@ -69,8 +64,7 @@
     private int firstSegment = SegmentNumbers.NONE; // a snapshot replaces the segments from here on; NONE: all
     private long snapshotBytes; // size of a snapshot of the current state
     private MessageNumbers numbers;
-    private FileChannel ownerLockChannel;
-    private FileLock ownerLock;
+    private OwnerLock ownerLock;
     private boolean isOwner;
     private boolean snapshotNeeded; // the segments lack steps, or room for them
     private boolean lastWriteFailed;
@@ -78,116 +72,6 @@
     private long retryAtNanos; // System.nanoTime of the next attempt after a failed write
     private Runnable catchUpRequest = () -> {};
 
-    /**
-     * An attempt to deliver an RPC. The time window in which it may be repeated starts with it.
-     *
-     * @param startedAtMillis time just before the first byte in milliseconds of {@link SteadyClock}
-     * @param zoneIndex index of the endpoint's zone in the settings, -1 if unknown
-     */
-    public record Attempt(long startedAtMillis, int zoneIndex) {}
-
-    /**
-     * An unfinished message: an accepted RPC that has not ended, or whose end is not acknowledged yet.
-     *
-     * @param number number of the message in this journal
-     * @param className name of its class, whose index may differ in the settings of the next process
-     * @param acceptedAtMicros time at which it was accepted in microseconds of {@link SteadyClock}, 0 if an earlier
-     *     version recorded it without one
-     * @param attempts number of attempts started
-     * @param firstPossibleRun the first attempt that may have run, or null
-     * @param inFlight the attempt without a known outcome, or null
-     * @param end its end, or null while it has none
-     */
-    public record UnfinishedMessage(
-            int number,
-            RpcRequest request,
-            String className,
-            long acceptedAtMicros,
-            int attempts,
-            Attempt firstPossibleRun,
-            Attempt inFlight,
-            RpcEnd end) {
-        /**
-         * Whether an attempt may have run. An attempt in flight counts only after a restart, see {@link #afterRestart}.
-         */
-        public boolean mayHaveRun() {
-            return firstPossibleRun != null;
-        }
-
-        /**
-         * Whether its key is remembered, so that a second submission is dropped. A returned message is excluded,
-         * because its client may resubmit it under the same id.
-         */
-        boolean keyIsRemembered() {
-            return request.acceptOnce() && end.kind() != RpcEnd.Kind.HANDED_BACK;
-        }
-
-        /** The state that a new process assumes: an attempt in flight may have run. */
-        UnfinishedMessage afterRestart() {
-            return new UnfinishedMessage(
-                    number,
-                    request,
-                    className,
-                    acceptedAtMicros,
-                    attempts,
-                    firstPossibleRun == null ? inFlight : firstPossibleRun,
-                    null,
-                    end);
-        }
-
-        /** A further attempt starts. An earlier attempt without a recorded outcome may have run. */
-        UnfinishedMessage withAttempt(Attempt attempt) {
-            return new UnfinishedMessage(
-                    number,
-                    request,
-                    className,
-                    acceptedAtMicros,
-                    attempts + 1,
-                    firstPossibleRun == null ? inFlight : firstPossibleRun,
-                    attempt,
-                    null);
-        }
-
-        /** The attempt in flight has ended. */
-        UnfinishedMessage withOutcome(boolean neverRan) {
-            return new UnfinishedMessage(
-                    number,
-                    request,
-                    className,
-                    acceptedAtMicros,
-                    attempts,
-                    firstPossibleRun == null && !neverRan ? inFlight : firstPossibleRun,
-                    null,
-                    null);
-        }
-
-        /** The RPC has ended. */
-        UnfinishedMessage withEnd(RpcEnd newEnd) {
-            return new UnfinishedMessage(
-                    number, request, className, acceptedAtMicros, attempts, firstPossibleRun, null, newEnd);
-        }
-
-        UnfinishedMessage withNumber(int newNumber) {
-            return new UnfinishedMessage(
-                    newNumber, request, className, acceptedAtMicros, attempts, firstPossibleRun, inFlight, end);
-        }
-
-        /** Upper bound of the bytes that it takes in a snapshot. */
-        long sizeBytes() {
-            return JournalRecords.HEADER_BYTES
-                    + 64
-                    + 3L
-                            * (request.id().length()
-                                    + request.front().length()
-                                    + request.returnAddress().length()
-                                    + className.length()
-                                    + request.idempotencyKey().length()
-                                    + request.orderKey().length()
-                                    + request.tenant().length())
-                    + (end == null ? request.body().length : 0);
-        }
-    }
-
     /**
      * Opens the journal in the folder, reads its unfinished messages and writes them to a new segment. Waits up to 20
      * seconds for a folder that cannot be read.
@@ -227,7 +111,10 @@
         for (boolean logged = false; ; logged = true) {
             try {
                 Files.createDirectories(folder);
-                lockFolder(successor);
+                if (ownerLock == null) {
+                    ownerLock = OwnerLock.open(folder, successor);
+                    isOwner = ownerLock.isHeld();
+                }
                 readSegments();
                 return;
             } catch (FileAlreadyExistsException | NotDirectoryException | AccessDeniedException e) {
@@ -254,25 +141,6 @@
         }
     }
 
-    private void lockFolder(boolean successor) throws IOException {
-        if (ownerLockChannel != null) {
-            return;
-        }
-        ownerLockChannel =
-                FileChannel.open(folder.resolve(OWNER_LOCK_FILE), StandardOpenOption.CREATE, StandardOpenOption.WRITE);
-        try {
-            ownerLock = successor ? null : ownerLockChannel.tryLock();
-            isOwner = ownerLock != null;
-        } catch (OverlappingFileLockException e) {
-            // this process holds the lock already: a test has opened the journal again
-            isOwner = true;
-        } catch (IOException e) {
-            // The file system has no locks: assume that no other process uses the folder.
-            LOG.atWarn().log("journal: the folder cannot be locked; this process acts as its owner: {}", e.toString());
-            isOwner = true;
-        }
-    }
-
     private void readSegments() throws IOException {
         List<Path> found = JournalSegments.all(folder);
         JournalReplay replay = JournalReplay.of(found);
@@ -332,24 +200,13 @@
      *     list if this journal has owned the folder from the start
      */
     public List<UnfinishedMessage> takeOverFromPredecessor() throws IOException, InterruptedException {
-        FileChannel lockChannel;
         synchronized (this) {
             if (isOwner) {
                 return List.of();
             }
-            lockChannel = ownerLockChannel;
-        }
-        FileLock lock = null;
-        while (lock == null) {
-            try {
-                lock = lockChannel.lock(); // blocks until the owner has ended
-            } catch (OverlappingFileLockException e) {
-                // a test has opened the owner in this process
-                Thread.sleep(20);
-            }
         }
+        ownerLock.await();
         synchronized (this) {
-            ownerLock = lock;
             isOwner = true;
             return takeOverSegments();
         }
@@ -398,12 +255,7 @@
     /** Closes the open segment and releases the lock on the folder. */
     public synchronized void close() {
         segments.close();
-        try {
-            // releases the lock, so that a successor can take over
-            ownerLockChannel.close();
-        } catch (IOException e) {
-            LOG.debug("journal: the lock file cannot be closed: {}", e.toString());
-        }
+        ownerLock.close();
     }
 
     /** Time at which an unfinished RPC was accepted, in microseconds of {@link SteadyClock}; 0 if unknown. */
--- a/src/main/java/juniperusher/core/JournalRecords.java
+++ b/src/main/java/juniperusher/core/JournalRecords.java
@@ -101,7 +101,7 @@
         });
     }
 
-    static byte[] accepted(Journal.UnfinishedMessage entry) {
+    static byte[] accepted(UnfinishedMessage entry) {
         RpcRequest request = entry.request();
         return record(ACCEPTED, out -> {
             out.writeInt(entry.number());
@@ -130,7 +130,7 @@
     }
 
     /** Reads the message in an {@link #ACCEPTED} record, after its type and number. */
-    static Journal.UnfinishedMessage accepted(int number, DataInputStream in) throws IOException {
+    static UnfinishedMessage accepted(int number, DataInputStream in) throws IOException {
         String id = in.readUTF();
         String front = in.readUTF();
         int messageClass = in.readInt();
@@ -143,8 +143,8 @@
         boolean hasInFlight = in.readBoolean();
         byte[] body = in.readNBytes(in.readInt());
         String className = optionalText(in);
-        Journal.Attempt firstPossibleRun = attempt(in);
-        Journal.Attempt inFlight = attempt(in);
+        Attempt firstPossibleRun = attempt(in);
+        Attempt inFlight = attempt(in);
         RpcRequest request = new RpcRequest(
                 id,
                 front,
@@ -159,7 +159,7 @@
                 optionalText(in),
                 optionalText(in));
         long acceptedAtMicros = in.available() > 0 ? in.readLong() : 0;
-        return new Journal.UnfinishedMessage(
+        return new UnfinishedMessage(
                 number,
                 request,
                 className,
@@ -175,14 +175,14 @@
         return in.available() > 0 ? in.readUTF() : "";
     }
 
-    static byte[] attempt(int number, Journal.Attempt attempt) {
+    static byte[] attempt(int number, Attempt attempt) {
         return record(ATTEMPT, out -> {
             out.writeInt(number);
             write(out, attempt);
         });
     }
 
-    private static void write(DataOutputStream out, Journal.Attempt attempt) throws IOException {
+    private static void write(DataOutputStream out, Attempt attempt) throws IOException {
         out.writeLong(attempt == null ? 0 : attempt.startedAtMillis());
         out.writeInt(attempt == null ? -1 : attempt.zoneIndex());
     }
@@ -191,8 +191,8 @@
      * Reads an attempt. Records of an earlier version have neither time nor zone; time 0 makes the repeat window of
      * such an attempt count as expired.
      */
-    static Journal.Attempt attempt(DataInputStream in) throws IOException {
-        return in.available() > 0 ? new Journal.Attempt(in.readLong(), in.readInt()) : new Journal.Attempt(0, -1);
+    static Attempt attempt(DataInputStream in) throws IOException {
+        return in.available() > 0 ? new Attempt(in.readLong(), in.readInt()) : new Attempt(0, -1);
     }
 
     static byte[] outcome(int number, boolean neverRan) {
--- a/src/main/java/juniperusher/core/JournalReplay.java
+++ b/src/main/java/juniperusher/core/JournalReplay.java
@@ -23,14 +23,14 @@
 final class JournalReplay {
     private static final Logger LOG = LoggerFactory.getLogger(JournalReplay.class);
 
-    private final Map<Integer, Journal.UnfinishedMessage> unfinished = new LinkedHashMap<>();
+    private final Map<Integer, UnfinishedMessage> unfinished = new LinkedHashMap<>();
     // number of the segment in which each message was accepted
     private final Map<Integer, Integer> acceptingSegments = new HashMap<>();
     private final Map<String, Long> endMillisByKey = new LinkedHashMap<>();
     private final Set<Integer> usedNumberRanges = new HashSet<>();
     private int lastNumberRange = MessageNumbers.FIRST_RANGE;
     private SteadyClock.Mark clockMark; // the last one read, or null
-    private Map<Integer, Journal.UnfinishedMessage>
+    private Map<Integer, UnfinishedMessage>
             snapshotEntries; // messages of the snapshot being read, or null outside of one
     private int firstReplacedSegment;
     private int segmentNumber;
@@ -49,7 +49,7 @@
     }
 
     /** Unfinished messages in the order in which they were accepted. */
-    Map<Integer, Journal.UnfinishedMessage> unfinished() {
+    Map<Integer, UnfinishedMessage> unfinished() {
         return unfinished;
     }
 
@@ -136,7 +136,7 @@
      * Earlier versions let message numbers overflow. A message with a negative number was either refused although it
      * was written, or taken over from another process. If it was never sent, returning it is right for both.
      */
-    private static Journal.UnfinishedMessage endOfOverflowed(Journal.UnfinishedMessage entry) {
+    private static UnfinishedMessage endOfOverflowed(UnfinishedMessage entry) {
         if (entry.end() != null || entry.attempts() > 0) {
             return entry;
         }
@@ -144,11 +144,11 @@
         return entry.withEnd(new RpcEnd(request.id(), request.returnAddress(), RpcEnd.Kind.HANDED_BACK, 0));
     }
 
-    private Map<Integer, Journal.UnfinishedMessage> currentEntries() {
+    private Map<Integer, UnfinishedMessage> currentEntries() {
         return snapshotEntries == null ? unfinished : snapshotEntries;
     }
 
-    private void addAccepted(int number, Journal.UnfinishedMessage entry) {
+    private void addAccepted(int number, UnfinishedMessage entry) {
         currentEntries().put(number, entry);
         if (snapshotEntries == null) {
             acceptingSegments.put(number, segmentNumber);
@@ -157,8 +157,8 @@
     }
 
     private void replayStep(byte type, int number, DataInputStream in) throws IOException {
-        Map<Integer, Journal.UnfinishedMessage> entries = currentEntries();
-        Journal.UnfinishedMessage entry = entries.get(number);
+        Map<Integer, UnfinishedMessage> entries = currentEntries();
+        UnfinishedMessage entry = entries.get(number);
         if (entry == null) {
             return;
         }
@@ -171,15 +171,14 @@
         }
     }
 
-    private void replayEnd(
-            Map<Integer, Journal.UnfinishedMessage> entries, Journal.UnfinishedMessage entry, DataInputStream in)
+    private void replayEnd(Map<Integer, UnfinishedMessage> entries, UnfinishedMessage entry, DataInputStream in)
             throws IOException {
         RpcEnd end = new RpcEnd(
                 entry.request().id(),
                 entry.request().returnAddress(),
                 RpcEnd.Kind.values()[in.readByte()],
                 in.readDouble());
-        Journal.UnfinishedMessage updated = entry.withEnd(end);
+        UnfinishedMessage updated = entry.withEnd(end);
         entries.put(entry.number(), updated);
         if (updated.keyIsRemembered()) {
             endMillisByKey.put(updated.request().key(), in.readLong());
--- a/src/main/java/juniperusher/core/MessageLog.java
+++ b/src/main/java/juniperusher/core/MessageLog.java
@@ -36,7 +36,7 @@
     }
 
     /** A message that an earlier process left unfinished was read. */
-    static void recovered(Journal.UnfinishedMessage entry, double secondsLeft) {
+    static void recovered(UnfinishedMessage entry, double secondsLeft) {
         LOG.atDebug()
                 .addKeyValue("id", entry.request().id())
                 .addKeyValue("number", entry.number())
--- a/src/main/java/juniperusher/core/Relay.java
+++ b/src/main/java/juniperusher/core/Relay.java
@@ -196,7 +196,7 @@
         if (journal.isSuccessor()) {
             orderHandover.awaitOwnerYield();
         }
-        for (Journal.UnfinishedMessage entry : journal.recovered()) {
+        for (UnfinishedMessage entry : journal.recovered()) {
             recover(entry);
         }
         loopThread = new Thread(decisionLoop, "decide");
@@ -269,8 +269,8 @@
      */
     private void takeOverFromPredecessor() {
         try {
-            List<Journal.UnfinishedMessage> entries = journal.takeOverFromPredecessor();
-            for (Journal.UnfinishedMessage entry : entries) {
+            List<UnfinishedMessage> entries = journal.takeOverFromPredecessor();
+            for (UnfinishedMessage entry : entries) {
                 if (pendingByKey.containsKey(entry.request().key())) {
                     // Its client resubmitted it to this process, which reports its one end.
                     journal.writeAcknowledged(entry.number());
@@ -289,7 +289,7 @@
         }
     }
 
-    private void recover(Journal.UnfinishedMessage entry) {
+    private void recover(UnfinishedMessage entry) {
         int classIndex = classIndexOf(entry);
         MessageClass messageClass = classIndex < 0 ? null : settings.classes().get(classIndex);
         RpcRequest request = classIndex < 0 ? entry.request() : entry.request().withMessageClass(classIndex);
@@ -325,7 +325,7 @@
      * Index of the message's class in the current settings, or -1. The class is found by its name: its recorded index
      * may stand for another class after a restart with other settings, which could make an unsafe RPC repeatable.
      */
-    private int classIndexOf(Journal.UnfinishedMessage entry) {
+    private int classIndexOf(UnfinishedMessage entry) {
         List<MessageClass> classes = settings.classes();
         int recordedIndex = entry.request().messageClass();
         if (entry.className().isEmpty()) {
@@ -417,7 +417,7 @@
     }
 
     /** Passes a new or recovered RPC to the decision module. {@code firstPossibleRun} may be null. */
-    void postArrival(Rpc rpc, int attemptsUsed, Journal.Attempt firstPossibleRun) {
+    void postArrival(Rpc rpc, int attemptsUsed, Attempt firstPossibleRun) {
         RpcRequest request = rpc.request();
         long acceptedAtMicros = rpc.orderKey() == 0 ? 0 : journal.acceptedAtMicros(rpc.number());
         // The time left is read when the round starts, not now: an event may queue while the decision thread is busy.
--- a/src/main/java/juniperusher/core/Rpc.java
+++ b/src/main/java/juniperusher/core/Rpc.java
@@ -29,7 +29,7 @@
     private volatile SharedCall lastCall; // may still be in flight; null before the first attempt
     private volatile boolean finished;
     private final AtomicBoolean endDecided = new AtomicBoolean();
-    private volatile Journal.Attempt firstPossibleRun; // null if no attempt can have run
+    private volatile Attempt firstPossibleRun; // null if no attempt can have run
 
     Rpc(int number, RpcRequest request, MessageClass messageClass, Relay relay) {
         this.number = number;
@@ -45,7 +45,7 @@
      * @param request the request with the current index of its class
      * @param messageClass its class, null if the settings no longer contain it
      */
-    Rpc(Journal.UnfinishedMessage entry, RpcRequest request, MessageClass messageClass, Relay relay) {
+    Rpc(UnfinishedMessage entry, RpcRequest request, MessageClass messageClass, Relay relay) {
         this(entry.number(), request, messageClass, relay);
         attempts = entry.attempts();
         firstPossibleRun = entry.firstPossibleRun();
@@ -81,7 +81,7 @@
 
     private CompletableFuture<Void> runAttempt(SharedCall call, CompletableFuture<Object> next) {
         int attempt = attempts++;
-        Journal.Attempt record;
+        Attempt record;
         CompletableFuture<CallResult> result;
         callInFlight = call;
         try {
@@ -94,7 +94,7 @@
             call.leave(this); // the other RPCs of the call go without it
             result = relay.heldBackResult();
         }
-        Journal.Attempt recordedAttempt = record;
+        Attempt recordedAttempt = record;
         return result.thenAccept(callResult -> {
             callInFlight = null;
             firstPossibleRun =
@@ -172,7 +172,7 @@
      * but establishing the connection may have outlasted the repeat window since.
      */
     private boolean mayRepeat() {
-        Journal.Attempt firstRun = firstPossibleRun;
+        Attempt firstRun = firstPossibleRun;
         return firstRun == null
                 || messageClass.effect() == Effect.SAFE
                 || messageClass.effect() == Effect.KEYED
--- a/src/test/java/juniperusher/core/JournalSegmentsTest.java
+++ b/src/test/java/juniperusher/core/JournalSegmentsTest.java
@@ -67,10 +67,10 @@
         Path folder = Files.createTempDirectory("segments");
         Journal journal = new Journal(folder, DISK_BYTES, 10);
         int number = journal.writeAccepted(request("a"), "c");
-        Journal.Attempt first = journal.writeAttempt(number, 0);
+        Attempt first = journal.writeAttempt(number, 0);
         journal.writeAttempt(number, 1); // the outcome of the first attempt was not recorded
         journal.writeOutcome(number, true);
-        Journal.UnfinishedMessage recovered =
+        UnfinishedMessage recovered =
                 new Journal(folder, DISK_BYTES, 10).recovered().get(0);
         assertTrue(recovered.mayHaveRun());
         assertEquals(recovered.firstPossibleRun(), first);
@@ -95,10 +95,10 @@
     @Test
     public void neverSentMessageWithANegativeNumberIsReturned() throws IOException {
         Path folder = Files.createTempDirectory("segments");
-        Journal.UnfinishedMessage refused =
-                new Journal.UnfinishedMessage(Integer.MIN_VALUE + 5, request("refused"), "c", 0, 0, null, null, null);
+        UnfinishedMessage refused =
+                new UnfinishedMessage(Integer.MIN_VALUE + 5, request("refused"), "c", 0, 0, null, null, null);
         Files.write(folder.resolve("journal-00000001"), JournalRecords.accepted(refused));
-        Journal.UnfinishedMessage recovered =
+        UnfinishedMessage recovered =
                 new Journal(folder, DISK_BYTES, 10).recovered().get(0);
         assertEquals(recovered.end().kind(), RpcEnd.Kind.HANDED_BACK);
         assertTrue(recovered.number() > 0, "number " + recovered.number());
--- a/src/test/java/juniperusher/core/JournalTest.java
+++ b/src/test/java/juniperusher/core/JournalTest.java
@@ -69,7 +69,7 @@
         if (journal.recovered().isEmpty()) {
             return "nothing";
         }
-        Journal.UnfinishedMessage entry = journal.recovered().get(0);
+        UnfinishedMessage entry = journal.recovered().get(0);
         return entry.attempts() + " attempts, ran=" + entry.mayHaveRun() + ", end="
                 + (entry.end() == null ? null : entry.end().kind());
     }
@@ -211,7 +211,7 @@
             int other = journal.writeAccepted(request("m" + i, false, 64 * 1024), "c");
             journal.writeAcknowledged(other);
         }
-        Journal.UnfinishedMessage entry =
+        UnfinishedMessage entry =
                 new Journal(folder, DISK_BYTES, 10).recovered().get(0);
         assertEquals(entry.attempts(), 1);
         assertTrue(entry.mayHaveRun());
--- a/src/test/java/juniperusher/core/OrderTest.java
+++ b/src/test/java/juniperusher/core/OrderTest.java
@@ -417,7 +417,7 @@
         assertTrue(acceptedAtMicros > 0);
         before.close();
         Journal after = new Journal(folder, DISK_BYTES, 10);
-        Journal.UnfinishedMessage recovered = after.recovered().get(0);
+        UnfinishedMessage recovered = after.recovered().get(0);
         assertEquals(recovered.request().orderKey(), ORDER_KEY);
         assertEquals(recovered.request().tenant(), "named");
         assertEquals(recovered.acceptedAtMicros(), acceptedAtMicros);
--- a/src/test/java/juniperusher/core/TakeOverTest.java
+++ b/src/test/java/juniperusher/core/TakeOverTest.java
@@ -37,7 +37,7 @@
         assertTrue(successor.isSuccessor());
         assertEquals(successor.recovered(), List.of(), "the successor resumed messages that the owner still sends");
         int own = successor.writeAccepted(request("own", false), "c");
-        CompletableFuture<List<Journal.UnfinishedMessage>> takeOver = CompletableFuture.supplyAsync(() -> {
+        CompletableFuture<List<UnfinishedMessage>> takeOver = CompletableFuture.supplyAsync(() -> {
             try {
                 return successor.takeOverFromPredecessor();
             } catch (Exception e) {
@@ -53,12 +53,12 @@
         }
         assertFalse(takeOver.isDone(), "taken over while the owner is running");
         owner.close();
-        List<Journal.UnfinishedMessage> takenOver = takeOver.get(10, TimeUnit.SECONDS);
+        List<UnfinishedMessage> takenOver = takeOver.get(10, TimeUnit.SECONDS);
         assertFalse(successor.isSuccessor());
         assertEquals(
                 takenOver.stream().map(one -> one.request().id()).sorted().toList(),
                 List.of("late", "sent", "waiting"));
-        Journal.UnfinishedMessage mayHaveRun = takenOver.stream()
+        UnfinishedMessage mayHaveRun = takenOver.stream()
                 .filter(one -> one.request().id().equals("sent"))
                 .findAny()
                 .orElseThrow();
