Maintenance is read once the folder can be read, not before

What callers would see: endpoints that operators had taken out of service got calls in the first moments of a process whose folder could not be read at its start. Not seen in service.

--- a/src/main/java/juniperusher/http/RelayServer.java
+++ b/src/main/java/juniperusher/http/RelayServer.java
@@ -131,7 +131,6 @@
         peerDatagrams = new PeerDatagrams(config::get);
         Relay[] relayHolder = new Relay[1];
         maintenanceFile = new MaintenanceFile(state);
-        maintenance = readMaintenance(Maintenance.NONE);
         resolver = new Resolver(
                 initialConfig,
                 pool,
@@ -152,6 +151,8 @@
                 peerDatagrams::send,
                 stormSettings == null ? null : new StormInterceptor(stormSettings, initialConfig, counters));
         relayHolder[0] = relay;
+        // only now, since the journal waits for a folder that cannot be read yet
+        maintenance = readMaintenance(Maintenance.NONE);
         statusReporter = new StatusReporter(() -> config.get().discovery(), pool, network);
         counters.gauge("notices_waiting", statusReporter::unacknowledgedCount);
         counters.gauge("connections_in", network.inboundConnections()::size);
