--- a/src/main/java/juniperusher/sim/SettingsParser.java
+++ b/src/main/java/juniperusher/sim/SettingsParser.java
@@ -14,8 +14,8 @@
 import juniperusher.Protocol.Weight;
 
 /**
- * Parses the start-up settings: one path=value per line. Unknown keys are ignored. Only a key that complete settings may
- * lack has a default value: an assumed value for any other could loosen a rule.
+ * Parses the start-up settings: one path=value per line. Unknown keys are ignored. Only a key that complete settings
+ * may lack has a default value: an assumed value for any other could loosen a rule.
  */
 public final class SettingsParser {
     private final Map<String, String> values = new HashMap<>();
