--- a/review/10/Case10.java
+++ b/review/10/Case10.java
@@ -1,13 +1,23 @@
 import java.io.IOException;
+import java.nio.file.DirectoryStream;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.Deque;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentLinkedDeque;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
 
-/** One AMQP client publishes many messages with a routing key that nobody has, before it reads the returns. */
+/** A relay is killed while it writes a snapshot. The next process writes a third copy, and the folder is over disk_mb. */
 final class Case10 {
-    private static final int MESSAGES = 1_500;
-    private static final int BODY_BYTES = 60_000; // a body holds 64 KiB at most
-    private static final int RETURN = 60 << 16 | 50;
-    private static final int NACK = 60 << 16 | 120;
+    private static final int KILLS = 20;
+    private static final int MESSAGES_PER_SECOND = 60;
+    private static final int BODY_BYTES = 20_000;
+    private static final int RETRIES = 3;
+    private static final long RETRY_MILLIS = 680;
+    private static final int DESTINATIONS = 5;
 
     public static void main(String[] arguments) {
         World.play(arguments, Case10::play);
@@ -15,58 +25,137 @@
 
     private static boolean play(World world) throws Exception {
         World.Platform platform = world.new Platform();
-        World.Endpoint endpoint = world.new Endpoint((self, ids, request, from) -> {
-            World.sleep(200);
-            return self.deliver(ids, request, from);
-        });
-        platform.serverList = "[" + endpoint.entry(7, "pequeno-projeto") + "]";
+        StringBuilder servers = new StringBuilder("[");
+        for (int i = 0; i < DESTINATIONS; i++) {
+            // above its limit, so that the relay has to hold what it takes on
+            World.Endpoint endpoint = world.new Endpoint((self, ids, request, from) -> {
+                self.answer(from, "503 Above the limit", "", "");
+                return true;
+            });
+            servers.append(i > 0 ? "," : "").append(endpoint.entry(i, "pequeno-projeto"));
+        }
+        platform.serverList = servers.append(']').toString();
         World.Config config = new World.Config();
+        config.held = 600;
+        config.calls = 23;
+        long limit = (long) (config.diskMb * (1 << 20));
         World.Relay relay = world.new Relay("n0", World.freePort(), world.folder.resolve("state"));
-        int amqpPort = World.freePort();
-        Path operatorFile = world.folder.resolve("relay.toml");
-        Files.writeString(
-                operatorFile,
-                "[amqp]\non = true\nlisten = \"127.0.0.1:" + amqpPort
-                        + "\"\nuser = \"guest\"\npassword = \"guest\"\nclass = \"ordem-build\"\n");
-        relay.arguments = " --settings " + operatorFile;
         relay.configure(config.text("127.0.0.1:" + relay.port, platform.port(), platform.serverList));
         relay.start();
         relay.awaitUp();
-        if (world.submit(relay.port, "c10-first", "aviso-push", 7, 6_000, new byte[212]) != 202) {
-            throw new World.Unplayable("the relay takes nothing on");
-        }
-        int published = 0;
-        try (Amqp client = new Amqp(amqpPort)) {
-            client.openChannel(1);
-            client.confirmSelect(1);
-            try {
-                for (; published < MESSAGES; published++) {
-                    client.publishMandatory(1, "no-such-key", new byte[BODY_BYTES]);
-                    if (!World.TROUBLE) { // reads the return and the nack of each message before the next
-                        client.await(RETURN);
-                        client.await(NACK);
-                    }
+
+        AtomicBoolean over = new AtomicBoolean();
+        AtomicBoolean done = new AtomicBoolean();
+        AtomicLong most = new AtomicLong();
+        Thread watch = new Thread(() -> {
+            while (!done.get()) {
+                Map<String, Long> before = sizes(relay.state);
+                Map<String, Long> after = sizes(relay.state);
+                // files that are there in both looks were there together between them, at least so long as in the first
+                before.keySet().retainAll(after.keySet());
+                long sum = before.values().stream().mapToLong(size -> (size + 511) / 512 * 512).sum();
+                if (sum > most.getAndAccumulate(sum, Math::max) && sum > limit) {
+                    over.set(true);
+                    world.log("the folder holds at least " + sum + " bytes of " + limit + ": " + before);
                 }
-                if (World.TROUBLE) { // reads all of them at the end
-                    for (int i = 0; i < MESSAGES; i++) {
-                        client.await(RETURN);
-                        client.await(NACK);
+            }
+        });
+        watch.setDaemon(true);
+        watch.start();
+
+        AtomicInteger handedIn = new AtomicInteger();
+        AtomicInteger taken = new AtomicInteger();
+        Deque<World.Client> connections = new ConcurrentLinkedDeque<>();
+        World.thread(() -> {
+            long start = world.now();
+            for (int i = 0; !done.get(); i++) {
+                World.sleep(start + i * 1_000L / MESSAGES_PER_SECOND - world.now());
+                int number = i;
+                World.thread(() -> {
+                    for (int attempt = 0; attempt <= RETRIES && !done.get(); attempt++) {
+                        String id = String.format("c10%013d", handedIn.incrementAndGet());
+                        if (handIn(relay.port, connections, id, number % DESTINATIONS) == 202) {
+                            taken.incrementAndGet();
+                            return;
+                        }
+                        World.sleep(RETRY_MILLIS);
                     }
+                });
+            }
+        });
+        World.sleep(4_000); // until the journal is full
+        int inTheMiddle = 0;
+        for (int kill = 0; kill < KILLS && !over.get() && world.now() < 95_000; kill++) {
+            if (!World.TROUBLE) {
+                World.sleep(2_000);
+                continue;
+            }
+            awaitHalfASnapshot(relay.state);
+            relay.kill();
+            Map<String, Long> left = sizes(relay.state);
+            boolean two = left.values().stream().filter(size -> size > 300_000).count() > 1;
+            inTheMiddle += two ? 1 : 0;
+            world.log("left in the folder: " + left);
+            World.sleep(600);
+            relay.start();
+            relay.awaitUp();
+            World.sleep(800);
+        }
+        World.sleep(500);
+        done.set(true);
+        watch.join(2_000);
+        world.log("handed in " + handedIn + ", taken on " + taken + "; kills that left an unfinished snapshot " + inTheMiddle
+                + "; most bytes in the folder " + most + " of " + limit);
+        if (taken.get() == 0) {
+            throw new World.Unplayable("the relay took nothing on");
+        }
+        return !over.get();
+    }
+
+    /** Waits up to 2 s for a moment at which the newest of two large segments is not yet as long as the one before. */
+    private static void awaitHalfASnapshot(Path folder) {
+        long until = System.nanoTime() + 2_000_000_000L;
+        while (System.nanoTime() < until) {
+            TreeMap<String, Long> segments = sizes(folder);
+            segments.keySet().removeIf(name -> !name.startsWith("journal-"));
+            if (segments.size() > 1
+                    && segments.lastEntry().getValue() < segments.firstEntry().getValue() * 3 / 4
+                    && segments.firstEntry().getValue() > 1_000_000) {
+                return;
+            }
+        }
+    }
+
+    private static TreeMap<String, Long> sizes(Path folder) {
+        TreeMap<String, Long> sizes = new TreeMap<>();
+        try (DirectoryStream<Path> files = Files.newDirectoryStream(folder)) {
+            for (Path file : files) {
+                try {
+                    sizes.put(file.getFileName().toString(), Files.size(file));
+                } catch (IOException e) {
+                    continue; // removed meanwhile
                 }
-                world.log("client: all " + MESSAGES + " messages were returned and refused");
-            } catch (IOException e) {
-                world.log("client: its connection ended after " + published + " messages: " + e);
             }
+        } catch (IOException e) {
+            return sizes;
         }
-        World.sleep(2_000);
-        boolean alive = relay.process.isAlive();
-        for (String line : relay.logLines()) {
-            if (line.contains("OutOfMemoryError")) {
-                world.log("log of the relay: " + line);
+        return sizes;
+    }
+
+    private static int handIn(int port, Deque<World.Client> connections, String id, int dest) {
+        World.Client client = connections.poll();
+        try {
+            client = client == null ? new World.Client(port) : client;
+            byte[] body = new byte[BODY_BYTES];
+            World.Answer answer = client.exchange(World.head(id, "ordem-build", dest, 20_000, body.length), body, 400);
+            if (answer.status > 0 && !"close".equalsIgnoreCase(answer.headers.get("connection"))) {
+                connections.push(client);
+            } else {
+                client.close();
             }
+            return answer.status;
+        } catch (IOException e) {
+            return 0;
         }
-        world.log("published " + published + " messages of " + BODY_BYTES + " bytes; the process lives: " + alive
-                + (alive ? "" : ", exit code " + relay.process.exitValue()));
-        return alive;
     }
 }
