--- a/review/10/Case10.java
+++ b/review/10/Case10.java
@@ -12,7 +12,9 @@
 
 /** A relay is killed while it writes a snapshot. The next process writes a third copy, and the folder is over disk_mb. */
 final class Case10 {
-    private static final int KILLS = 20;
+    private static final int KILLS = 8;
+    private static final int HANGING = 2; // of five: a quarter to a half
+    private static final long HANG_MILLIS = 18_000;
     private static final int MESSAGES_PER_SECOND = 60;
     private static final int BODY_BYTES = 20_000;
     private static final int RETRIES = 3;
@@ -25,12 +27,17 @@
 
     private static boolean play(World world) throws Exception {
         World.Platform platform = world.new Platform();
+        long[] hang = {Long.MAX_VALUE, Long.MAX_VALUE};
         StringBuilder servers = new StringBuilder("[");
         for (int i = 0; i < DESTINATIONS; i++) {
-            // above its limit, so that the relay has to hold what it takes on
+            boolean hangs = i < HANGING;
             World.Endpoint endpoint = world.new Endpoint((self, ids, request, from) -> {
-                self.answer(from, "503 Above the limit", "", "");
-                return true;
+                long now = world.now();
+                if (World.TROUBLE && hangs && now >= hang[0] && now < hang[1]) {
+                    World.closedWithin(from, 100_000); // takes the call and answers nothing
+                    return false;
+                }
+                return !World.closedWithin(from, 200) && self.deliver(ids, request, from);
             });
             servers.append(i > 0 ? "," : "").append(endpoint.entry(i, "pequeno-projeto"));
         }
@@ -74,7 +81,11 @@
                 World.thread(() -> {
                     for (int attempt = 0; attempt <= RETRIES && !done.get(); attempt++) {
                         String id = String.format("c10%013d", handedIn.incrementAndGet());
-                        if (handIn(relay.port, connections, id, number % DESTINATIONS) == 202) {
+                        boolean order = number % 4 == 3;
+                        int status = handIn(relay.port, connections, id, number % DESTINATIONS, order);
+                        world.log("client " + id + " " + (order ? "ordem-build" : "aviso-push") + " dest="
+                                + number % DESTINATIONS + " answer=" + status);
+                        if (status == 202) {
                             taken.incrementAndGet();
                             return;
                         }
@@ -83,9 +94,11 @@
                 });
             }
         });
-        World.sleep(4_000); // until the journal is full
+        hang[0] = world.now() + 1_000;
+        hang[1] = hang[0] + HANG_MILLIS;
+        World.sleep(5_000); // until the journal is full
         int inTheMiddle = 0;
-        for (int kill = 0; kill < KILLS && !over.get() && world.now() < 95_000; kill++) {
+        for (int kill = 0; kill < KILLS && !over.get() && world.now() < hang[1]; kill++) {
             if (!World.TROUBLE) {
                 World.sleep(2_000);
                 continue;
@@ -142,12 +155,15 @@
         return sizes;
     }
 
-    private static int handIn(int port, Deque<World.Client> connections, String id, int dest) {
+    private static int handIn(int port, Deque<World.Client> connections, String id, int dest, boolean order) {
         World.Client client = connections.poll();
         try {
             client = client == null ? new World.Client(port) : client;
             byte[] body = new byte[BODY_BYTES];
-            World.Answer answer = client.exchange(World.head(id, "ordem-build", dest, 20_000, body.length), body, 400);
+            World.Answer answer = client.exchange(
+                    World.head(id, order ? "ordem-build" : "aviso-push", dest, order ? 20_000 : 6_000, body.length),
+                    body,
+                    400);
             if (answer.status > 0 && !"close".equalsIgnoreCase(answer.headers.get("connection"))) {
                 connections.push(client);
             } else {
--- a/review/6/Case6.java
+++ b/review/6/Case6.java
@@ -82,6 +82,8 @@
                     }
                     String id = String.format("c6%014d", handedIn.incrementAndGet());
                     int status = handIn(relay.port, connections, id, messageClass, number % ENDPOINTS, budget);
+                    world.log("client " + id + " " + messageClass + " dest=" + number % ENDPOINTS + " budget=" + budget
+                            + " answer=" + status);
                     if (status == 202) {
                         taken.put(id, new Taken(messageClass, at, budget));
                         return;
--- a/review/9/Case9.java
+++ b/review/9/Case9.java
@@ -35,7 +35,7 @@
                 from.setSoLinger(true, 0); // the connection is reset under the request
                 return false;
             }
-            self.answer(from, "200 OK", "", "");
+            self.answer(from, "200 OK", "", ""); // for a repeat that is dropped, too
             return true;
         });
         platform.serverList = "[" + endpoint.entry(7, "pequeno-projeto") + "]";
--- a/review/standins-2/World.java
+++ b/review/standins-2/World.java
@@ -177,6 +177,7 @@
 
     /** A process of the deploy file's run command. */
     final class Relay {
+        private static final Pattern DISCOVERY = Pattern.compile("\"discovery\":\"([^\"]*)\"");
         final String name;
         final int port;
         final Path state;
@@ -194,6 +195,10 @@
         }
 
         void configure(String text) throws IOException {
+            Matcher discovery = DISCOVERY.matcher(text);
+            if (discovery.find()) {
+                environment.put("RELAY_DISCOVERY", discovery.group(1));
+            }
             Path next = folder.resolve(name + ".json.next");
             Files.writeString(next, text);
             Files.move(next, config, StandardCopyOption.REPLACE_EXISTING, StandardCopyOption.ATOMIC_MOVE);
@@ -357,6 +362,9 @@
         }
 
         void answer(Socket to, String status, String headers, String body) throws IOException {
+            if (this instanceof Endpoint) {
+                log("endpoint " + port() + " answers " + status);
+            }
             String length = status.startsWith("204")
                     ? ""
                     : "Content-Length: " + body.getBytes(StandardCharsets.UTF_8).length + "\r\n";
@@ -500,6 +508,7 @@
         }
 
         void ran(List<String> ids) {
+            log("endpoint " + port() + " runs " + ids);
             ids.forEach(id -> runs.computeIfAbsent(id, key -> new java.util.concurrent.CopyOnWriteArrayList<>())
                     .add(now()));
         }
