--- a/review/standins-3/Rig.java
+++ b/review/standins-2/Rig.java
@@ -36,7 +36,7 @@
     static final String LOOPBACK = "127.0.0.1";
     private static final long START = System.nanoTime();
     private static final long LIMIT_MILLIS = 115_000; // of a whole run
-    private static final Path HOLDER = Path.of("review/standins-3/classes/holdsocket");
+    private static final Path HOLDER = Path.of("target/review-2/holdsocket");
 
     private final Path root;
     final Path folder;
