--- a/review/11/WaitsAtUpgrade.java
+++ b/review/8/WaitsAtUpgrade.java
@@ -11,11 +11,12 @@
 final class WaitsAtUpgrade {
     private static final int DESTINATIONS = 30;
     private static final int LARGE = 10; // the first third, which get much of the traffic
-    private static final int UPGRADES = 6;
-    private static final int CLIENTS = 60; // about 200 messages a second in all
+    private static final int MOST_UPGRADES = 12;
+    private static final double LAST_UPGRADE_AT_MILLIS = 80_000;
+    private static final int CLIENTS = 48; // about 230 messages a second in all
     private static final double SPAN_MILLIS = 2_000;
     private static final int CALLS_IN_SPAN = 3;
-    private static final double CALLS_PER_SECOND = 3;
+    private static final double CALLS_PER_SECOND = 2;
     private static final double LET_THROUGH_MILLIS = 100; // after the writing of the answer that tells the wait
     private static final double END_TOLERANCE_MILLIS = 5;
 
@@ -102,13 +103,13 @@
             platform.add(endpoint.id, endpoint.port, i, i < LARGE ? "grande-parceiro" : "pequeno-projeto", "lisboa-1");
         }
         int listen = Rig.freePort();
-        int[] operators = new int[UPGRADES + 1];
-        for (int i = 0; i <= UPGRADES; i++) {
+        int[] operators = new int[MOST_UPGRADES + 1];
+        for (int i = 0; i <= MOST_UPGRADES; i++) {
             operators[i] = Rig.freePort();
         }
         Path state = Files.createDirectory(rig.folder.resolve("state"));
         // twelve seconds of the load may be held
-        Path config = rig.writeConfig("config.json", listen, platform, Map.of("\"mostHeld\": 600", "\"mostHeld\": 2400"));
+        Path config = rig.writeConfig("config.json", listen, platform, Map.of("\"mostHeld\": 600", "\"mostHeld\": 2760"));
         rig.holdSocket(listen);
         long running = rig.startFirst(
                 rig.environment("n0", listen, platform.port, operators[0], state, config), operators[0]);
@@ -127,12 +128,15 @@
                             order ? 20_000 : 6_000,
                             "",
                             "");
-                    Rig.sleep(180 + random.nextInt(200));
+                    Rig.sleep(100 + random.nextInt(200));
                 }
             });
         }
         Rig.sleep(5_000);
-        for (int i = 1; i <= UPGRADES; i++) {
+        for (int i = 1; i <= MOST_UPGRADES && Rig.now() < LAST_UPGRADE_AT_MILLIS; i++) {
+            if (!callsDuringWaits(endpoints).isEmpty()) {
+                break; // shown
+            }
             if (!Rig.TROUBLE) {
                 Rig.sleep(6_000);
                 continue;
@@ -150,20 +154,22 @@
         }
         stopped[0] = true;
         Rig.sleep(500);
-        return callsDuringWaits(rig, endpoints);
+        rig.log(endpoints.stream().mapToInt(endpoint -> endpoint.calls.size()).sum() + " calls, "
+                + endpoints.stream()
+                        .flatMap(endpoint -> endpoint.calls.stream())
+                        .filter(call -> call.answered && call.waitMillis > 0)
+                        .count()
+                + " waits told");
+        return callsDuringWaits(endpoints);
     }
 
-    private static List<String> callsDuringWaits(Rig rig, List<Rig.Endpoint> endpoints) {
+    private static List<String> callsDuringWaits(List<Rig.Endpoint> endpoints) {
         List<String> breaches = new ArrayList<>();
-        int told = 0;
-        int calls = 0;
         for (Rig.Endpoint endpoint : endpoints) {
-            calls += endpoint.calls.size();
             for (Rig.Call refused : endpoint.calls) {
                 if (!refused.answered || refused.waitMillis == 0) {
                     continue;
                 }
-                told++;
                 double until = refused.endedAt + refused.waitMillis;
                 for (Rig.Call call : endpoint.calls) {
                     if (call.firstByteAt > refused.writtenAt + LET_THROUGH_MILLIS
@@ -181,7 +187,6 @@
                 }
             }
         }
-        rig.log(calls + " calls, " + told + " waits told");
         return breaches;
     }
 }
