--- a/review/standins-2/Rig.java
+++ b/review/standins-2/Rig.java
@@ -510,7 +510,11 @@
     void cannotRun(String why) {
         log("cannot run: " + why);
         System.err.println("cannot run: " + why);
-        endProcesses();
+        try {
+            close();
+        } catch (IOException e) {
+            log("the temporary folder is not removed: " + e);
+        }
         Runtime.getRuntime().halt(2);
     }
 
