--- a/review/8/WaitsAtUpgrade.java
+++ b/review/8/WaitsAtUpgrade.java
@@ -15,40 +15,58 @@
     private static final double LAST_UPGRADE_AT_MILLIS = 80_000;
     private static final int CLIENTS = 48; // about 230 messages a second in all
     private static final double SPAN_MILLIS = 2_000;
-    private static final int CALLS_IN_SPAN = 3;
-    private static final double CALLS_PER_SECOND = 2;
     private static final double LET_THROUGH_MILLIS = 100; // after the writing of the answer that tells the wait
     private static final double END_TOLERANCE_MILLIS = 5;
 
+    private static final double MESSAGES_PER_SECOND = 235; // all clients together
+    private static final double LOAD = 1.3; // of full load
+    private static final double CLUMP_SHARE = 0.17; // of the messages
+    private static final double CLUMP_SECONDS = 2.3; // a clump has as many messages as its destination takes in this time
+
     private interface Destination {
         Rig.Answer answer();
     }
 
-    /** Takes three calls in each span of 2 s; 82% of the refusals above tell the wait to the end of the span. */
+    /** A destination's calls a second at full load. */
+    private static double fullLoad(int destination) {
+        return MESSAGES_PER_SECOND / LOAD * share(destination);
+    }
+
+    /** Takes 0.91 times its calls at full load in each span of 2 s, 3 at least; 82% of the refusals tell the span's end. */
     private static final class Large implements Destination {
         private final double offset = Math.random() * SPAN_MILLIS;
+        private final double callsInSpan;
         private double span = -1;
         private int calls;
 
+        Large(int number) {
+            callsInSpan = Math.max(3, Math.ceil(0.91 * fullLoad(number) * SPAN_MILLIS / 1000));
+        }
+
         @Override
         public synchronized Rig.Answer answer() {
             double now = Rig.now() + offset;
             double current = Math.floor(now / SPAN_MILLIS);
             calls = current == span ? calls + 1 : 1;
             span = current;
-            return calls <= CALLS_IN_SPAN ? delivered() : refused(0.82, (span + 1) * SPAN_MILLIS - now);
+            return calls <= callsInSpan ? delivered() : refused(0.82, (span + 1) * SPAN_MILLIS - now);
         }
     }
 
-    /** Takes a plain rate of calls; 58% of the refusals above it tell a wait of 0.98 s. */
+    /** Takes 1.1 times its calls a second at full load, 2 at least; 58% of the refusals tell a wait of 0.98 s. */
     private static final class Small implements Destination {
+        private final double callsPerSecond;
         private double tokens = 2;
         private double at = Rig.now();
 
+        Small(int number) {
+            callsPerSecond = Math.max(2, 1.1 * fullLoad(number));
+        }
+
         @Override
         public synchronized Rig.Answer answer() {
             double now = Rig.now();
-            tokens = Math.min(2, tokens + (now - at) / 1000 * CALLS_PER_SECOND);
+            tokens = Math.min(Math.max(2, callsPerSecond / 2), tokens + (now - at) / 1000 * callsPerSecond);
             at = now;
             if (tokens < 1) {
                 return refused(0.58, 980);
@@ -73,20 +91,47 @@
                 : new Rig.Answer("503 Full", "", delayMillis);
     }
 
-    /** Draws a destination: a few get much of the traffic. */
-    private static int draw(Random random) {
+    /** The part of the messages that goes to a destination: a few get much of the traffic. */
+    private static double share(int destination) {
         double sum = 0;
         for (int i = 1; i <= DESTINATIONS; i++) {
             sum += Math.pow(i, -0.9);
         }
-        double drawn = random.nextDouble() * sum;
-        for (int i = 1; i < DESTINATIONS; i++) {
-            drawn -= Math.pow(i, -0.9);
-            if (drawn < 0) {
-                return i - 1;
+        return Math.pow(destination + 1, -0.9) / sum;
+    }
+
+    /** Draws the destinations of messages, a part of which come in clumps for one destination. */
+    private static final class Traffic {
+        private final Random random = new Random(1);
+        private long drawn;
+        private long inClumps;
+        private int clumpLeft;
+        private int clumpFor;
+
+        synchronized int next() {
+            drawn++;
+            if (clumpLeft == 0 && inClumps < CLUMP_SHARE * (drawn - 100)) {
+                clumpFor = drawSingle();
+                clumpLeft = (int) (fullLoad(clumpFor) * CLUMP_SECONDS);
+            }
+            if (clumpLeft == 0) {
+                return drawSingle();
+            }
+            clumpLeft--;
+            inClumps++;
+            return clumpFor;
+        }
+
+        private int drawSingle() {
+            double left = random.nextDouble();
+            for (int i = 0; i < DESTINATIONS - 1; i++) {
+                left -= share(i);
+                if (left < 0) {
+                    return i;
+                }
             }
+            return DESTINATIONS - 1;
         }
-        return DESTINATIONS - 1;
     }
 
     public static void main(String[] arguments) throws Exception {
@@ -97,7 +142,7 @@
         Rig.Platform platform = rig.new Platform();
         List<Rig.Endpoint> endpoints = new ArrayList<>();
         for (int i = 0; i < DESTINATIONS; i++) {
-            Destination destination = i < LARGE ? new Large() : new Small();
+            Destination destination = i < LARGE ? new Large(i) : new Small(i);
             Rig.Endpoint endpoint = rig.new Endpoint("s-" + i, call -> destination.answer());
             endpoints.add(endpoint);
             platform.add(endpoint.id, endpoint.port, i, i < LARGE ? "grande-parceiro" : "pequeno-projeto", "lisboa-1");
@@ -113,6 +158,7 @@
         rig.holdSocket(listen);
         long running = rig.startFirst(
                 rig.environment("n0", listen, platform.port, operators[0], state, config), operators[0]);
+        Traffic traffic = new Traffic();
         AtomicInteger lastNumber = new AtomicInteger();
         boolean[] stopped = {false};
         for (int i = 0; i < CLIENTS; i++) {
@@ -124,7 +170,7 @@
                     client.send(
                             String.format("%016x", lastNumber.incrementAndGet()),
                             order ? "ordem-build" : "aviso-push",
-                            draw(random),
+                            traffic.next(),
                             order ? 20_000 : 6_000,
                             "",
                             "");
--- a/review/9/MaintenanceAtUpgrade.java
+++ b/review/9/MaintenanceAtUpgrade.java
@@ -76,6 +76,7 @@
             if (operators == firstOperators && Rig.TROUBLE && Rig.saysYes(secondOperators, "/status")) {
                 operators = secondOperators;
                 rig.log("the new process says yes");
+                rig.signal(first, "TERM");
             }
             callsAfterTheYes += operators == secondOperators || !Rig.TROUBLE && Rig.now() > noUpgradeUntil ? 1 : 0;
             if (callsAfterTheYes == 0 && Rig.now() > giveUpAt) {
@@ -94,7 +95,10 @@
             Rig.sleep(BETWEEN_CALLS_MILLIS);
         }
         if (Rig.TROUBLE) {
-            rig.endOld(first);
+            Rig.await(3_700, () -> !Rig.isAlive(first));
+            if (Rig.isAlive(first)) {
+                rig.signal(first, "KILL");
+            }
         }
         Rig.sleep(3_000);
         stopped[0] = true;
