--- a/src/main/java/juniperusher/core/Journal.java
+++ b/src/main/java/juniperusher/core/Journal.java
@@ -144,10 +144,10 @@
         List<Path> found = JournalSegments.all(folder);
         JournalReplay replay = JournalReplay.of(found);
         resumeClock(replay);
-        replay.rememberedEnds().forEach(rememberedEnds::add);
         int newest = found.isEmpty() ? SegmentNumbers.NONE : JournalSegments.number(found.get(found.size() - 1));
         if (!isOwner) {
-            // The other process still writes its segments: only the numbers that it uses are needed here.
+            // The other process still writes its segments: only the numbers that it uses are needed here. Its ends are
+            // looked up in its segments, since a second copy of them would need room beside its snapshots.
             firstSegment = SegmentNumbers.plus(newest, SUCCESSOR_SEGMENT_OFFSET);
             numbers = MessageNumbers.apartFrom(replay.usedNumberRanges());
             segments = new JournalSegments(folder, firstSegment);
@@ -159,11 +159,30 @@
             return;
         }
         segments = new JournalSegments(folder, newest);
+        addToOwnSegments(found, replay);
+        replay.rememberedEnds().forEach(rememberedEnds::add);
+        numbers = new MessageNumbers(replay.lastNumberRange());
+        replay.unfinished().values().forEach(this::adopt);
+    }
+
+    /**
+     * Adds segments of an ended process to the own ones and removes those that nobody needs. The room for the next
+     * snapshot is reserved beside one copy of the state, and a kill may have left two.
+     */
+    private void addToOwnSegments(List<Path> found, JournalReplay replay) throws IOException {
         for (Path path : found) {
             segments.addOwn(path);
         }
-        numbers = new MessageNumbers(replay.lastNumberRange());
-        replay.unfinished().values().forEach(this::adopt);
+        List<Path> obsolete = replay.obsoleteSegments();
+        if (obsolete.isEmpty()) {
+            return;
+        }
+        long bytesBefore = segments.bytes();
+        obsolete.forEach(segments::remove);
+        LOG.atInfo()
+                .addKeyValue("segments", obsolete.size())
+                .addKeyValue("bytes", bytesBefore - segments.bytes())
+                .log("journal: incomplete and replaced segments of an earlier process removed");
     }
 
     /** Adds a message of an earlier process under a new number, which becomes valid with the next snapshot. */
@@ -223,9 +242,7 @@
             takenOver.add(entry);
         }
         replay.rememberedEnds().forEach(rememberedEnds::add);
-        for (Path path : otherSegments) {
-            segments.addOwn(path);
-        }
+        addToOwnSegments(otherSegments, replay);
         // from now on a snapshot replaces the other segments too
         firstSegment = SegmentNumbers.NONE;
         snapshotNeeded = true;
--- a/src/main/java/juniperusher/core/JournalReplay.java
+++ b/src/main/java/juniperusher/core/JournalReplay.java
@@ -4,6 +4,8 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -28,20 +30,39 @@
             snapshotEntries; // messages of the snapshot being read, or null outside of one
     private int firstReplacedSegment;
     private int segmentNumber;
+    private boolean segmentIsUsed; // the segment being read has contributed to the state
+    private final List<Path> liveSegments = new ArrayList<>(); // read so far and not obsolete
+    private final List<Path> obsoleteSegments = new ArrayList<>();
 
     /** Reads the segments in the given order, the oldest first. */
     static JournalReplay of(List<Path> segments) throws IOException {
         JournalReplay replay = new JournalReplay();
         for (Path path : segments) {
-            replay.segmentNumber = JournalSegments.number(path);
-            SegmentReader.readRecords(Files.readAllBytes(path), replay::replayRecord);
-            replay.snapshotEntries = null; // a snapshot that the segment cuts off is ignored
+            replay.readSegment(path);
         }
         replay.usedNumberRanges.add(replay.lastNumberRange);
         replay.unfinished.replaceAll((number, entry) -> number < 0 ? endOfOverflowed(entry) : entry);
         return replay;
     }
 
+    private void readSegment(Path path) throws IOException {
+        segmentNumber = JournalSegments.number(path);
+        segmentIsUsed = false;
+        SegmentReader.readRecords(Files.readAllBytes(path), this::replayRecord);
+        snapshotEntries = null; // a snapshot that the segment cuts off is ignored
+        (segmentIsUsed ? liveSegments : obsoleteSegments).add(path);
+    }
+
+    /**
+     * The segments without which a reader finds the same unfinished messages, the oldest first: those whose snapshot is
+     * incomplete, as a kill leaves it, and those that a later complete snapshot replaces.
+     */
+    List<Path> obsoleteSegments() {
+        return obsoleteSegments.stream()
+                .sorted(Comparator.comparing(JournalSegments::number, SegmentNumbers::compare))
+                .toList();
+    }
+
     /** Unfinished messages in the order in which they were accepted. */
     Map<Integer, UnfinishedMessage> unfinished() {
         return unfinished;
@@ -98,6 +119,12 @@
             acceptingSegments.put(number, segmentNumber);
         });
         snapshotEntries = null;
+        segmentIsUsed = true;
+        List<Path> replaced = liveSegments.stream()
+                .filter(path -> isReplaced(JournalSegments.number(path)))
+                .toList();
+        liveSegments.removeAll(replaced);
+        obsoleteSegments.addAll(replaced);
     }
 
     private boolean isReplaced(int segment) {
@@ -125,6 +152,7 @@
         currentEntries().put(number, entry);
         if (snapshotEntries == null) {
             acceptingSegments.put(number, segmentNumber);
+            segmentIsUsed = true;
         }
         MessageNumbers.addRangesOf(number, usedNumberRanges);
     }
@@ -135,6 +163,7 @@
         if (entry == null) {
             return;
         }
+        segmentIsUsed |= snapshotEntries == null;
         switch (type) {
             case JournalRecords.ATTEMPT -> entries.put(number, entry.withAttempt(JournalRecords.attempt(in)));
             case JournalRecords.OUTCOME -> entries.put(number, entry.withOutcome(in.readBoolean()));
--- a/src/main/java/juniperusher/core/JournalSegments.java
+++ b/src/main/java/juniperusher/core/JournalSegments.java
@@ -9,7 +9,6 @@
 import java.nio.file.StandardOpenOption;
 import java.util.Comparator;
 import java.util.List;
-import java.util.Map;
 import java.util.TreeMap;
 import java.util.stream.Stream;
 import org.slf4j.Logger;
@@ -163,19 +162,30 @@
      */
     private void removeOlderThan(int number) {
         while (SegmentNumbers.compare(bytesByNumber.firstKey(), number) < 0) {
-            Map.Entry<Integer, Long> oldest = bytesByNumber.firstEntry();
-            try {
-                Files.deleteIfExists(path(oldest.getKey()));
-            } catch (IOException e) {
-                LOG.atWarn()
-                        .addKeyValue("segment", oldest.getKey())
-                        .log("journal: an old segment cannot be removed: {}", e.toString());
+            if (!remove(path(bytesByNumber.firstKey()))) {
                 return;
             }
-            bytesByNumber.remove(oldest.getKey());
         }
     }
 
+    /**
+     * Removes a segment of this writer's own that is not appended to.
+     *
+     * @return whether it is gone; one that cannot be removed still counts towards the size
+     */
+    boolean remove(Path segment) {
+        try {
+            Files.deleteIfExists(segment);
+        } catch (IOException e) {
+            LOG.atWarn()
+                    .addKeyValue("segment", number(segment))
+                    .log("journal: an old segment cannot be removed: {}", e.toString());
+            return false;
+        }
+        bytesByNumber.remove(number(segment));
+        return true;
+    }
+
     /** Closes the open segment, if any. */
     void close() {
         try {
