--- a/src/main/java/juniperusher/core/Journal.java
+++ b/src/main/java/juniperusher/core/Journal.java
@@ -18,8 +18,9 @@
 
 /**
  * The write-ahead journal of the relay: the unfinished messages and the steps of each, in a folder that outlasts the
- * process. Steps are appended to segment files. When the disk bound is reached, a snapshot of everything unfinished is
- * written to a new segment and the old segments are removed; the bound leaves room for both copies at any time. Nothing
+ * process. Steps are appended to segment files. When the disk bound is reached and it pays, a snapshot of everything
+ * unfinished is written to a new segment and the old segments are removed; the bound leaves room for both copies at any
+ * time ({@link JournalRoom}). Nothing
  * is synced to the disk: written data survives the end of the process but not the loss of the machine.
  *
  * <p>Writes may fail for a while. A step that needs permission (accepting a message, starting an attempt) happens only
@@ -37,10 +38,6 @@
  */
 public final class Journal {
     private static final Logger LOG = LoggerFactory.getLogger(Journal.class);
-    // Upper bound of the bytes that an accepted RPC still adds in small records (attempts, outcomes, its end).
-    private static final int SMALL_RECORD_BYTES_PER_RPC = 560;
-    // Kept free for rounding up file sizes to disk blocks and for the folder itself.
-    private static final int FOLDER_OVERHEAD_BYTES = 8 * 1024;
     private static final int MAX_SNAPSHOT_BUFFER_BYTES = 16 << 20; // allocated at once; a longer one grows
     private static final int REMEMBERED_ENDS_DIVISOR = 8; // the part of the journal that they may take
     // Between the owner's last segment and the successor's first: the owner writes further segments meanwhile.
@@ -54,8 +51,8 @@
     private static final long CATCH_UP_RETRY_NANOS = 20_000_000;
 
     private final Path folder;
-    private final long limitBytes;
-    private final long reserveBytes;
+    private final JournalRoom room;
+    private final long maxRememberedEndBytes;
     private final Map<Integer, UnfinishedMessage> unfinished = new LinkedHashMap<>();
     private final RememberedEnds rememberedEnds;
     private final List<UnfinishedMessage> recovered;
@@ -70,6 +67,9 @@
     private boolean snapshotNeeded; // the segments lack steps, or room for them
     private boolean lastWriteFailed;
     private long failedWrites;
+    private long snapshotCount;
+    private long snapshotBytesWritten;
+    private long longestSnapshotNanos;
     private long retryAtNanos; // System.nanoTime of the next attempt after a failed write
     private Runnable catchUpRequest = () -> {};
 
@@ -91,9 +91,9 @@
      */
     Journal(Path folder, long diskBytes, int maxPending, boolean successor) throws IOException {
         this.folder = folder;
-        limitBytes = diskBytes - FOLDER_OVERHEAD_BYTES;
-        reserveBytes = Math.min(limitBytes / 4, (long) maxPending * SMALL_RECORD_BYTES_PER_RPC);
-        rememberedEnds = new RememberedEnds(limitBytes / REMEMBERED_ENDS_DIVISOR);
+        room = new JournalRoom(diskBytes, maxPending);
+        maxRememberedEndBytes = room.limitBytes() / REMEMBERED_ENDS_DIVISOR;
+        rememberedEnds = new RememberedEnds(maxRememberedEndBytes);
         openFolder(successor);
         recovered = List.copyOf(unfinished.values());
         unfinishedBytes = unfinished.values().stream()
@@ -291,6 +291,21 @@
         return failedWrites;
     }
 
+    /** Number of snapshots written since the start. */
+    public synchronized long snapshotCount() {
+        return snapshotCount;
+    }
+
+    /** Total size of the snapshots written since the start, in bytes. */
+    public synchronized long snapshotBytesWritten() {
+        return snapshotBytesWritten;
+    }
+
+    /** The longest time that a snapshot has taken, in seconds, for which all other steps had to wait. */
+    public synchronized double longestSnapshotSeconds() {
+        return longestSnapshotNanos / 1e9;
+    }
+
     // ---- steps that are written before they happen ----
 
     /**
@@ -304,11 +319,12 @@
         UnfinishedMessage entry =
                 new UnfinishedMessage(number, request, className, SteadyClock.micros(), 0, null, null, null);
         long size = entry.sizeBytes();
-        if (!hasRoom(size)) {
+        if (!room.admits(roomUse(), size)) {
+            rememberedEnds.removeOld(SteadyClock.millis());
             // a snapshot in a new segment frees the room of finished messages
-            snapshotNeeded = true;
+            snapshotNeeded |= room.snapshotPaysForMessage(measuredRoomUse(), size);
         }
-        if (!writeSnapshotIfNeeded() || !hasRoom(size) || !append(JournalRecords.accepted(entry))) {
+        if (!writeSnapshotIfNeeded() || !room.admits(roomUse(), size) || !append(JournalRecords.accepted(entry))) {
             throw new JournalUnavailableException(null);
         }
         unfinished.put(number, entry);
@@ -321,14 +337,21 @@
         return unfinishedBytes + rememberedEnds.bytes();
     }
 
-    /** Whether both processes of an upgrade can write a snapshot at the same time if a message is accepted here. */
-    private boolean hasRoom(long size) {
-        return segments.bytes() + snapshotBytes() + 2 * size + reserveBytes + 2 * otherProcessBytes() <= limitBytes;
+    private JournalRoom.Use roomUse() {
+        long otherProcessBytes = otherProcess == null ? 0 : otherProcess.segmentBytes();
+        return new JournalRoom.Use(segments.bytes(), snapshotBytes(), otherProcessBytes);
     }
 
-    /** Size of the other process's segments; 0 without another process. */
-    private long otherProcessBytes() {
-        return otherProcess == null ? 0 : otherProcess.segmentBytes();
+    /** As {@link #roomUse}, with a new look at what the other process of an upgrade has written meanwhile. */
+    private JournalRoom.Use measuredRoomUse() {
+        if (otherProcess != null) {
+            try {
+                otherProcess.measureSegments();
+            } catch (IOException e) {
+                LOG.debug("journal: the other process's segments cannot be measured: {}", e.toString());
+            }
+        }
+        return roomUse();
     }
 
     /**
@@ -340,9 +363,7 @@
         UnfinishedMessage entry = unfinished.get(number);
         UnfinishedMessage updated = entry.withAttempt(attempt);
         byte[] record = JournalRecords.attempt(number, attempt);
-        if (!fits(record)) {
-            snapshotNeeded = true;
-        }
+        makeRoomFor(record);
         if (!writeSnapshotIfNeeded() || !append(record)) {
             throw new JournalUnavailableException(null);
         }
@@ -403,8 +424,7 @@
      */
     synchronized OtherProcessMessages.Knowledge otherProcessKnowledge(String key) throws IOException {
         if (otherProcess == null) {
-            otherProcess =
-                    new OtherProcessMessages(folder, path -> segments.owns(path), limitBytes / REMEMBERED_ENDS_DIVISOR);
+            otherProcess = new OtherProcessMessages(folder, path -> segments.owns(path), maxRememberedEndBytes);
         }
         return otherProcess.knowledgeOf(key);
     }
@@ -461,19 +481,27 @@
             // a snapshot for each step would load the processor and the failing folder
             return false;
         }
+        long startNanos = System.nanoTime();
+        byte[] snapshot = snapshot();
         try {
-            segments.replace(snapshot());
+            segments.replace(snapshot);
         } catch (IOException e) {
             onWriteFailed(e);
             return false;
         }
+        snapshotCount++;
+        snapshotBytesWritten += snapshot.length;
+        longestSnapshotNanos = Math.max(longestSnapshotNanos, System.nanoTime() - startNanos);
         snapshotNeeded = false;
         onWriteSucceeded();
         return true;
     }
 
-    private boolean fits(byte[] record) {
-        return segments.bytes() + snapshotBytes() + record.length + otherProcessBytes() <= limitBytes;
+    /** Asks for a snapshot if the record of an accepted message needs room that a snapshot frees at a fair price. */
+    private void makeRoomFor(byte[] record) {
+        if (!room.fits(roomUse(), record.length)) {
+            snapshotNeeded |= room.snapshotPaysForRecord(measuredRoomUse());
+        }
     }
 
     /**
@@ -483,7 +511,8 @@
      * @return whether the step is in the folder
      */
     private boolean appendOrSnapshot(byte[] record) {
-        if (snapshotNeeded || !fits(record) || !append(record)) {
+        makeRoomFor(record);
+        if (snapshotNeeded || !append(record)) {
             // the state in memory already includes the step
             snapshotNeeded = true;
             return writeSnapshotIfNeeded();
--- a/src/main/java/juniperusher/core/OtherProcessMessages.java
+++ b/src/main/java/juniperusher/core/OtherProcessMessages.java
@@ -48,9 +48,7 @@
 
     /** Reads what the other process has written so far and returns what it knows of the message with this key. */
     Knowledge knowledgeOf(String key) throws IOException {
-        List<Path> segments = JournalSegments.all(folder).stream()
-                .filter(isOwnSegment.negate())
-                .toList();
+        List<Path> segments = otherSegments();
         readBytes.keySet().retainAll(segments);
         segmentBytes = 0;
         for (Path segment : segments) {
@@ -59,11 +57,25 @@
         return new Knowledge(pendingKeys.contains(key), ends.recent(key, SteadyClock.millis()));
     }
 
+    private List<Path> otherSegments() throws IOException {
+        return JournalSegments.all(folder).stream()
+                .filter(isOwnSegment.negate())
+                .toList();
+    }
+
     /** The size of the other process's segments in bytes, as of the last look. */
     long segmentBytes() {
         return segmentBytes;
     }
 
+    /** Looks at the size of the other process's segments again. */
+    void measureSegments() throws IOException {
+        segmentBytes = 0;
+        for (Path segment : otherSegments()) {
+            segmentBytes += segment.toFile().length(); // 0 if it has been replaced meanwhile
+        }
+    }
+
     /** The other process has ended and its segments are this process's own; what it has accepted is still known. */
     void segmentsTakenOver() {
         segmentBytes = 0;
--- a/src/main/java/juniperusher/core/Relay.java
+++ b/src/main/java/juniperusher/core/Relay.java
@@ -179,6 +179,9 @@
         counters.gauge("journal_bytes", journal::sizeBytes);
         counters.gauge("journal_behind", () -> journal.isBehind() ? 1 : 0);
         counters.gauge("journal_write_failures", journal::failedWrites);
+        counters.gauge("journal_snapshots", journal::snapshotCount);
+        counters.gauge("journal_snapshot_bytes", journal::snapshotBytesWritten);
+        counters.gauge("journal_longest_snapshot_seconds", journal::longestSnapshotSeconds);
         journal.onBehind(this::scheduleCatchUp);
     }
 
--- a/src/main/java/juniperusher/core/RememberedEnds.java
+++ b/src/main/java/juniperusher/core/RememberedEnds.java
@@ -52,15 +52,19 @@
         return end == null || isOver(end, nowMillis) ? null : end;
     }
 
-    /** Forgets the ends that are older than two minutes. */
+    /**
+     * Forgets the ends that are older than two minutes, in the order in which they were added: one that was added late,
+     * as at a take-over, may stay until those before it are old.
+     */
     void removeOld(long nowMillis) {
         Iterator<Map.Entry<String, End>> entries = ends.entrySet().iterator();
         while (entries.hasNext()) {
             Map.Entry<String, End> entry = entries.next();
-            if (isOver(entry.getValue(), nowMillis)) {
-                entries.remove();
-                bytes -= bytes(entry.getKey());
+            if (!isOver(entry.getValue(), nowMillis)) {
+                return;
             }
+            entries.remove();
+            bytes -= bytes(entry.getKey());
         }
     }
 
--- a/src/test/java/juniperusher/core/JournalTest.java
+++ b/src/test/java/juniperusher/core/JournalTest.java
@@ -9,8 +9,10 @@
 import java.nio.ByteBuffer;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.Deque;
 import java.util.List;
 import java.util.stream.Stream;
 import org.testng.annotations.Test;
@@ -137,6 +139,101 @@
         assertTrue(folderBytes(folder) <= DISK_BYTES, "more bytes than allowed after a restart");
     }
 
+    private static int newestSegmentNumber(Path folder) throws IOException {
+        List<Path> segments = JournalSegments.all(folder);
+        return JournalSegments.number(segments.get(segments.size() - 1));
+    }
+
+    /** Accepts messages until there is no room for more, and returns their number. */
+    private static int fill(Journal journal, int bodyBytes) {
+        int accepted = 0;
+        while (accepts(journal, request("m" + accepted, false, bodyBytes))) {
+            accepted++;
+        }
+        return accepted;
+    }
+
+    // Guards against notices that come too late once the journal is full: each request that it refused wrote a snapshot
+    // of
+    // all unfinished messages, though nothing had ended since the one before.
+    @Test
+    public void fullJournalRefusesWithoutWritingASnapshot() throws IOException {
+        Path folder = Files.createTempDirectory("journal");
+        Journal journal = new Journal(folder, DISK_BYTES, 600);
+        assertTrue(fill(journal, 20_000) > 60);
+        int segment = newestSegmentNumber(folder);
+        for (int i = 0; i < 200; i++) {
+            assertFalse(accepts(journal, request("refused-" + i, false, 20_000)));
+        }
+        assertEquals(newestSegmentNumber(folder), segment, "segments begun for refused messages");
+    }
+
+    // Guards against the same late notices while a full journal gets room little by little: each message that was
+    // accepted
+    // in the room of one that had ended wrote the whole state.
+    @Test
+    public void fullJournalWritesFourBytesOfSnapshotsForEachByteAcceptedAtMost() throws IOException {
+        Path folder = Files.createTempDirectory("journal");
+        Journal journal = new Journal(folder, DISK_BYTES, 600);
+        Deque<Integer> pending = new ArrayDeque<>();
+        acceptWhileThereIsRoom(journal, pending);
+        int accepted = pending.size();
+        int initially = accepted;
+        long snapshotBytes = 0;
+        int segment = newestSegmentNumber(folder);
+        for (int ended = 0; ended < 500; ended++) {
+            int number = pending.remove();
+            journal.writeEnd(number, new RpcEnd("m", "", RpcEnd.Kind.DELIVERED, 0));
+            journal.writeAcknowledged(number);
+            int before = pending.size();
+            acceptWhileThereIsRoom(journal, pending);
+            accepted += pending.size() - before;
+            if (newestSegmentNumber(folder) != segment) {
+                segment = newestSegmentNumber(folder);
+                snapshotBytes += Files.size(onlySegment(folder));
+            }
+            assertTrue(pending.size() > initially * 3 / 4, "room of ended messages is not used: " + pending.size());
+            assertTrue(folderBytes(folder) <= DISK_BYTES, "more bytes than allowed");
+        }
+        long acceptedBytes = accepted * 20_000L;
+        assertTrue(snapshotBytes <= 4 * acceptedBytes, snapshotBytes + " bytes written for " + acceptedBytes);
+    }
+
+    private static void acceptWhileThereIsRoom(Journal journal, Deque<Integer> pending) {
+        try {
+            while (true) {
+                pending.add(journal.writeAccepted(request("m", false, 20_000), "c"));
+            }
+        } catch (JournalUnavailableException e) {
+            // full
+        }
+    }
+
+    // Guards against steps of accepted messages that each write the whole state, while that takes over half of the
+    // room.
+    @Test
+    public void stepsOfAStateOverHalfTheRoomAreAppended() throws IOException {
+        Path folder = Files.createTempDirectory("journal");
+        Journal before = new Journal(folder, DISK_BYTES, 100);
+        int accepted = fill(before, 20_000);
+        before.close();
+        Journal journal = new Journal(folder, DISK_BYTES / 3 * 2, 100); // its limit was lowered
+        int segment = newestSegmentNumber(folder);
+        for (UnfinishedMessage entry : journal.recovered()) {
+            journal.writeAttempt(entry.number(), 0);
+            journal.writeOutcome(entry.number(), false);
+            assertEquals(newestSegmentNumber(folder), segment, "a segment was begun for a step");
+            assertTrue(folderBytes(folder) <= DISK_BYTES / 3 * 2, "more bytes than allowed");
+        }
+        for (UnfinishedMessage entry : journal.recovered()) {
+            journal.writeEnd(entry.number(), new RpcEnd("m", "", RpcEnd.Kind.DELIVERED, 0));
+            journal.writeAcknowledged(entry.number());
+            assertTrue(folderBytes(folder) <= DISK_BYTES / 3 * 2, "more bytes than allowed");
+        }
+        assertTrue(accepted > 60);
+        assertTrue(accepts(journal, request("next", false, 20_000)), "the room of ended messages is not used");
+    }
+
     // Guards against a journal without an open segment, which refused every message until some other step was written.
     @Test
     public void acceptsMessagesAgainAfterItsSegmentWasClosed() throws Exception {
