Maintenance is stored change by change, so no process undoes the other's calls

Cause: each process of an upgrade wrote its whole set into the file maintenance, without a lock and without reading it before. A save that failed was tried again as the whole older set. The new process read the file early in its start and again only 250 ms after it served.

Change: SharedFile locks (only ever tried, never waited for in the kernel), reads, applies one change, writes and moves into place. SavedMaintenance keeps a change that could not be saved as a change and applies it to what the file holds later. The new process reads the file when its relay starts and when it serves.

--- a/src/main/java/juniperusher/files/AtomicFile.java
+++ b/src/main/java/juniperusher/files/AtomicFile.java
@@ -23,7 +23,11 @@
      */
     public static void write(Path target, String text) throws IOException {
         long processId = ProcessHandle.current().pid();
-        Path temporary = target.resolveSibling(target.getFileName() + ".new-" + processId);
+        write(target, text, target.resolveSibling(target.getFileName() + ".new-" + processId));
+    }
+
+    /** As {@link #write(Path, String)}, with a temporary file that no other thread or process may use meanwhile. */
+    static void write(Path target, String text, Path temporary) throws IOException {
         try {
             Files.writeString(temporary, text, StandardCharsets.UTF_8);
         } catch (IOException e) {
--- a/src/main/java/juniperusher/http/RelayServer.java
+++ b/src/main/java/juniperusher/http/RelayServer.java
@@ -19,7 +19,9 @@
 import juniperusher.core.RoutedSubchannels;
 import juniperusher.core.Subchannels;
 import juniperusher.maintenance.Maintenance;
+import juniperusher.maintenance.MaintenanceChange;
 import juniperusher.maintenance.MaintenanceFile;
+import juniperusher.maintenance.SavedMaintenance;
 import juniperusher.membership.Endpoint;
 import juniperusher.membership.Snapshot;
 import juniperusher.mgmt.ManagedRelay;
@@ -64,9 +66,8 @@
     // Orders the changes by discovery and by maintenance that are passed to the relay; guards the fields down to
     // relayStarted.
     private final Object targetsLock = new Object();
-    private final MaintenanceFile maintenanceFile;
-    private Maintenance maintenance = Maintenance.NONE;
-    private boolean maintenanceUnsaved; // the last write failed, so the file is older than the active maintenance
+    private final SavedMaintenance savedMaintenance;
+    private Maintenance maintenance = Maintenance.NONE; // what the relay knows
     private Snapshot discovered = Snapshot.EMPTY; // as listed by discovery, without maintenance
     private boolean relayStarted;
     private volatile boolean serving;
@@ -130,7 +131,7 @@
                 new UnexpectedInputLog(counters));
         peerDatagrams = new PeerDatagrams(config::get);
         Relay[] relayHolder = new Relay[1];
-        maintenanceFile = new MaintenanceFile(state);
+        savedMaintenance = new SavedMaintenance(new MaintenanceFile(state));
         resolver = new Resolver(
                 initialConfig,
                 pool,
@@ -151,8 +152,6 @@
                 peerDatagrams::send,
                 stormSettings == null ? null : new StormInterceptor(stormSettings, initialConfig, counters));
         relayHolder[0] = relay;
-        // only now, since the journal waits for a folder that cannot be read yet
-        maintenance = readMaintenance(Maintenance.NONE);
         statusReporter = new StatusReporter(() -> config.get().discovery(), pool, network);
         counters.gauge("notices_waiting", statusReporter::unacknowledgedCount);
         counters.gauge("connections_in", network.inboundConnections()::size);
@@ -189,6 +188,8 @@
         }
         synchronized (targetsLock) {
             relayStarted = true;
+            // only now, since the other process of an upgrade may have changed it while this one waited
+            maintenance = savedMaintenance.refresh();
             relay.start(maintenance.applyTo(discovered));
         }
         peerDatagrams.start(relay::post);
@@ -199,7 +200,7 @@
         }
         counters.gauge(
                 "endpoints_maintenance", () -> maintenance().endpointIds().size());
-        network.scheduler().schedule(this::pollMaintenanceFile, MAINTENANCE_POLL_MILLIS, TimeUnit.MILLISECONDS);
+        pollMaintenanceFile();
         serving = true;
     }
 
@@ -254,30 +255,26 @@
 
     @Override
     public MaintenanceResult enterMaintenance(String id) {
-        return changeMaintenance(id, true);
+        return changeMaintenance(new MaintenanceChange(id, true));
     }
 
     @Override
     public MaintenanceResult exitMaintenance(String id) {
-        return changeMaintenance(id, false);
+        return changeMaintenance(new MaintenanceChange(id, false));
     }
 
-    private MaintenanceResult changeMaintenance(String id, boolean enter) {
+    private MaintenanceResult changeMaintenance(MaintenanceChange change) {
+        String id = change.endpointId();
         synchronized (targetsLock) {
             if (!Maintenance.isKnown(id, discovered) && !maintenance.contains(id)) {
-                return MaintenanceResult.UNKNOWN;
-            }
-            Maintenance next = enter ? maintenance.enter(id) : maintenance.exit(id);
-            try {
-                // Saved before the operator gets the answer, so that a restart and the other process of an upgrade
-                // keep the change.
-                maintenanceFile.write(next);
-                maintenanceUnsaved = false;
-            } catch (IOException e) {
-                maintenanceUnsaved = true; // pollMaintenanceFile tries again
-                LOG.atError().addKeyValue("target", id).log("maintenance could not be saved: {}", e.toString());
+                activate(savedMaintenance.refresh()); // the other process of an upgrade may know it
+                if (!maintenance.contains(id)) {
+                    return MaintenanceResult.UNKNOWN;
+                }
             }
-            activate(next);
+            // Saved before the operator gets the answer, so that a restart and the other process of an upgrade keep the
+            // change.
+            activate(savedMaintenance.change(change));
             return MaintenanceResult.DONE;
         }
     }
@@ -288,42 +285,15 @@
             return;
         }
         synchronized (targetsLock) {
-            if (maintenanceUnsaved) {
-                retrySavingMaintenance(); // the file is older than the active maintenance and must not replace it
-            } else {
-                adoptSavedMaintenance();
+            Maintenance saved = savedMaintenance.refresh();
+            if (!saved.equals(maintenance)) {
+                LOG.atInfo().addKeyValue("held", saved.endpointIds()).log("maintenance adopted from the saved file");
+                activate(saved);
             }
         }
         network.scheduler().schedule(this::pollMaintenanceFile, MAINTENANCE_POLL_MILLIS, TimeUnit.MILLISECONDS);
     }
 
-    private void retrySavingMaintenance() {
-        try {
-            maintenanceFile.write(maintenance);
-            maintenanceUnsaved = false;
-            LOG.info("maintenance was saved on retry");
-        } catch (IOException e) {
-            LOG.debug("maintenance could not be saved on retry: {}", e.toString());
-        }
-    }
-
-    private void adoptSavedMaintenance() {
-        Maintenance saved = readMaintenance(maintenance);
-        if (!saved.equals(maintenance)) {
-            LOG.atInfo().addKeyValue("held", saved.endpointIds()).log("maintenance adopted from the saved file");
-            activate(saved);
-        }
-    }
-
-    private Maintenance readMaintenance(Maintenance fallback) {
-        try {
-            return maintenanceFile.read();
-        } catch (IOException e) {
-            LOG.atWarn().log("the maintenance file cannot be read; keeping the active maintenance: {}", e.getMessage());
-            return fallback;
-        }
-    }
-
     /**
      * Reloads the configuration on SIGHUP: addresses, classes and limits change in one step, and pending RPCs stay.
      * A file that cannot be read or is incomplete changes nothing and is logged in one line.
--- a/src/test/java/juniperusher/maintenance/MaintenanceTest.java
+++ b/src/test/java/juniperusher/maintenance/MaintenanceTest.java
@@ -64,7 +64,7 @@
         MaintenanceFile file = new MaintenanceFile(folder);
         assertEquals(file.read(), Maintenance.NONE);
         Maintenance stored = Maintenance.NONE.enter("s-b").enter("s-a");
-        file.write(stored);
+        file.apply(List.of(new MaintenanceChange("s-b", true), new MaintenanceChange("s-a", true)), Maintenance.NONE);
         assertEquals(new MaintenanceFile(folder).read(), stored);
         String whole = stored.serialize();
         for (int cut = 0; cut < whole.length(); cut++) {
@@ -72,7 +72,13 @@
             assertThrows(IllegalArgumentException.class, () -> Maintenance.parse(truncated));
         }
         try (var remaining = Files.list(folder)) {
-            assertEquals(remaining.count(), 1L, "a temporary file was left");
+            assertEquals(
+                    remaining
+                            .map(path -> path.getFileName().toString())
+                            .sorted()
+                            .toList(),
+                    List.of(MaintenanceFile.NAME, MaintenanceFile.NAME + ".lock"),
+                    "a temporary file was left");
         }
     }
 }
