A wait is never dropped because the other process holds the lock on the waits

Cause: the file waits was changed under a blocking lock. All the time a thread of the new process waits for the lock on owner, which the old one holds; when the old one had to wait for waits.lock, the kernel took that for a deadlock and refused. The delay was logged and dropped.

Evidence: the new test builds it with two processes and no load.

--- a/src/main/java/juniperusher/files/SharedFile.java
+++ b/src/main/java/juniperusher/files/SharedFile.java
@@ -20,13 +20,12 @@
  */
 public final class SharedFile {
     private static final Logger LOG = LoggerFactory.getLogger(SharedFile.class);
-    // A change takes well under a millisecond unless its process gets no processor time.
-    private static final long LOCK_TIMEOUT_NANOS = 100_000_000;
     private static final long LOCK_RETRY_MILLIS = 1;
 
     private static final Object IN_PROCESS_LOCK = new Object(); // a file lock excludes other processes only
 
     private final Path path;
+    private final long lockTimeoutMillis;
     private final Path lockPath;
     private final Path temporaryPath; // of one name only, so that killed processes leave no more than one behind
 
@@ -41,9 +40,15 @@
         String applyTo(String content) throws IOException;
     }
 
-    /** Creates the file object; neither the file nor its folder need exist yet. */
-    public SharedFile(Path path) {
+    /**
+     * Creates the file object; neither the file nor its folder need exist yet.
+     *
+     * @param lockTimeoutMillis how long a change waits for one of the other process, which takes well under a
+     *     millisecond unless that process gets no processor time
+     */
+    public SharedFile(Path path, long lockTimeoutMillis) {
         this.path = path;
+        this.lockTimeoutMillis = lockTimeoutMillis;
         lockPath = path.resolveSibling(path.getFileName() + ".lock");
         temporaryPath = path.resolveSibling(path.getFileName() + ".new");
     }
@@ -65,7 +70,7 @@
      * Applies the change to the present content, creating the folder if need be. Readers see the new content once this
      * returns.
      *
-     * @throws IOException if another process holds the lock for 100 ms, or the file cannot be read or written; it is
+     * @throws IOException if another process holds the lock for too long, or the file cannot be read or written; it is
      *     then unchanged
      */
     public void update(Change change) throws IOException {
@@ -81,7 +86,7 @@
 
     /** Takes the lock, which ends when the channel is closed. */
     private void awaitLock(FileChannel channel) throws IOException {
-        long untilNanos = System.nanoTime() + LOCK_TIMEOUT_NANOS;
+        long untilNanos = System.nanoTime() + lockTimeoutMillis * 1_000_000;
         while (!tryLock(channel)) {
             if (System.nanoTime() - untilNanos >= 0) {
                 throw new IOException(lockPath + " is locked by another process");
--- a/src/main/java/juniperusher/maintenance/MaintenanceFile.java
+++ b/src/main/java/juniperusher/maintenance/MaintenanceFile.java
@@ -16,13 +16,15 @@
     /** File name in the folder. */
     public static final String NAME = "maintenance";
 
+    private static final long LOCK_TIMEOUT_MILLIS = 100;
+
     private final Path path;
     private final SharedFile file;
 
     /** Creates the file object for {@code folder}, which need not exist yet. */
     public MaintenanceFile(Path folder) {
         path = folder.resolve(NAME);
-        file = new SharedFile(path);
+        file = new SharedFile(path, LOCK_TIMEOUT_MILLIS);
     }
 
     /**
--- a/src/test/java/juniperusher/core/SharedRetryDelaysTest.java
+++ b/src/test/java/juniperusher/core/SharedRetryDelaysTest.java
@@ -2,9 +2,14 @@
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertNull;
+import static org.testng.Assert.assertTrue;
 
+import java.io.IOException;
+import java.nio.channels.FileChannel;
+import java.nio.channels.FileLock;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
 import java.util.Map;
 import java.util.concurrent.CyclicBarrier;
 import java.util.concurrent.ExecutorService;
@@ -56,4 +61,65 @@
             threads.shutdownNow();
         }
     }
+
+    // Guards against a delay that one process of an upgrade drops: the new one waits for the owner's lock, so the
+    // kernel
+    // refuses the old one to wait for the lock on the delays, as for a deadlock.
+    @Test
+    public void delayIsSharedWhileTheOtherProcessWaitsForTheOwnersEnd() throws Exception {
+        Path folder = Files.createTempDirectory("waits");
+        OwnerLock owner = OwnerLock.open(folder, false);
+        assertTrue(owner.isHeld());
+        Process successor = new ProcessBuilder(
+                        Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                        "-cp",
+                        System.getProperty("surefire.test.class.path", System.getProperty("java.class.path")),
+                        WaitingSuccessor.class.getName(),
+                        folder.toString())
+                .redirectError(ProcessBuilder.Redirect.INHERIT)
+                .start();
+        try (var lines = successor.inputReader()) {
+            assertEquals(lines.readLine(), "locked");
+            SharedRetryDelays delays = new SharedRetryDelays(folder);
+            delays.add(3, UNTIL_MILLIS);
+            assertEquals(lines.readLine(), "released");
+            Map<Integer, Long> seen = delays.pollChanges(); // stores what could not be stored before
+            assertEquals(seen, Map.of(3, UNTIL_MILLIS));
+        } finally {
+            successor.destroyForcibly().waitFor();
+            owner.close();
+        }
+    }
+
+    /** The new process: waits for the owner's lock, and holds the one on the delays for a while. */
+    static final class WaitingSuccessor {
+        private static final long HELD_MILLIS = 500;
+
+        private WaitingSuccessor() {}
+
+        public static void main(String[] arguments) throws Exception {
+            Path folder = Path.of(arguments[0]);
+            try (FileChannel channel = FileChannel.open(
+                            folder.resolve("waits.lock"), StandardOpenOption.CREATE, StandardOpenOption.WRITE);
+                    FileLock lock = channel.lock()) {
+                Thread takeOver = new Thread(() -> awaitOwner(folder));
+                takeOver.setDaemon(true);
+                takeOver.start();
+                Thread.sleep(HELD_MILLIS); // until the thread waits in the kernel
+                System.out.println("locked");
+                Thread.sleep(HELD_MILLIS);
+                assertTrue(lock.isValid());
+            }
+            System.out.println("released");
+            Thread.sleep(60_000); // until it is ended
+        }
+
+        private static void awaitOwner(Path folder) {
+            try {
+                OwnerLock.open(folder, true).await();
+            } catch (IOException | InterruptedException e) {
+                throw new IllegalStateException(e);
+            }
+        }
+    }
 }
--- a/src/test/java/juniperusher/files/SharedFileTest.java
+++ b/src/test/java/juniperusher/files/SharedFileTest.java
@@ -19,6 +19,7 @@
 /** Guards against a change that undoes or drops one of the other process of an upgrade. */
 class SharedFileTest {
     private static final int CHANGES = 300;
+    private static final long LOCK_TIMEOUT_MILLIS = 100;
     private static final int PROCESS_SECONDS = 60;
 
     @TempDir
@@ -30,16 +31,17 @@
 
     @Test
     void changeIsAppliedToTheContentOfThatMoment() throws Exception {
-        SharedFile one = new SharedFile(folder.resolve("new").resolve("state"));
+        SharedFile one = new SharedFile(folder.resolve("new").resolve("state"), LOCK_TIMEOUT_MILLIS);
         assertNull(one.read());
         one.update(content -> append(content, "a"));
-        new SharedFile(folder.resolve("new").resolve("state")).update(content -> append(content, "b"));
+        SharedFile other = new SharedFile(folder.resolve("new").resolve("state"), LOCK_TIMEOUT_MILLIS);
+        other.update(content -> append(content, "b"));
         assertEquals("a\nb\n", one.read());
     }
 
     @Test
     void changeThatFailsLeavesTheContent() throws Exception {
-        SharedFile file = new SharedFile(folder.resolve("state"));
+        SharedFile file = new SharedFile(folder.resolve("state"), LOCK_TIMEOUT_MILLIS);
         file.update(content -> "first");
         assertThrows(
                 IOException.class,
@@ -53,7 +55,7 @@
 
     @Test
     void heldLockIsAnErrorAndNotAWaitWithoutEnd() throws Exception {
-        SharedFile file = new SharedFile(folder.resolve("state"));
+        SharedFile file = new SharedFile(folder.resolve("state"), LOCK_TIMEOUT_MILLIS);
         try (FileChannel holder =
                 FileChannel.open(folder.resolve("state.lock"), StandardOpenOption.CREATE, StandardOpenOption.WRITE)) {
             holder.lock();
@@ -77,7 +79,7 @@
                 .inheritIO()
                 .start();
         try {
-            SharedFile file = new SharedFile(path);
+            SharedFile file = new SharedFile(path, LOCK_TIMEOUT_MILLIS);
             while (file.read() == null) {
                 assertTrue(other.isAlive(), "the other process wrote nothing");
                 Thread.sleep(1);
@@ -104,7 +106,7 @@
         private Appender() {}
 
         public static void main(String[] arguments) throws Exception {
-            SharedFile file = new SharedFile(Path.of(arguments[0]));
+            SharedFile file = new SharedFile(Path.of(arguments[0]), LOCK_TIMEOUT_MILLIS);
             for (int i = 0; i < CHANGES; i++) {
                 change(file, arguments[1] + i);
             }
