A call ends whatever its answer makes of its listener; nested JSON is refused

Cause: an exchange marks itself finished before it tells its listener. The parser recursed and used up the stack of 256 KB; whatever a listener throws, neither the timeout nor the last resort ends a finished exchange, so that the call's slots stayed taken.

Change: an exchange whose listener throws on the answer ends as spoilt and is logged; a used-up heap still ends the process. A shared call's result is set whatever its delay does. PeerJson refuses texts that nest deeper than 32 before the parser recurses: answers to shared calls, discovery's lists, the operators' calls, the configuration.

--- a/src/main/java/juniperusher/core/SharedCall.java
+++ b/src/main/java/juniperusher/core/SharedCall.java
@@ -172,9 +172,12 @@
                     limitSeconds,
                     this::mayStart,
                     (place, result) -> {
-                        resultListener.accept(result);
-                        members.get(place).result.complete(result);
-                        members.get(place).callEnded.complete(null);
+                        try {
+                            resultListener.accept(result);
+                        } finally {
+                            members.get(place).result.complete(result);
+                            members.get(place).callEnded.complete(null);
+                        }
                     });
         } catch (RuntimeException e) {
             // The exception would reach only the RPC that joined last, so all results are set here. The call may have
--- a/src/main/java/juniperusher/http/Config.java
+++ b/src/main/java/juniperusher/http/Config.java
@@ -1,10 +1,8 @@
 package juniperusher.http;
 
-import com.eclipsesource.json.Json;
 import com.eclipsesource.json.JsonArray;
 import com.eclipsesource.json.JsonObject;
 import com.eclipsesource.json.JsonValue;
-import com.eclipsesource.json.ParseException;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
@@ -13,6 +11,7 @@
 import java.util.List;
 import java.util.Set;
 import juniperusher.Protocol;
+import juniperusher.net.PeerJson;
 import juniperusher.sim.MalformedInputException;
 import juniperusher.sim.SettingsParser;
 
@@ -66,9 +65,8 @@
      */
     public static Config read(Path file) throws IOException {
         try {
-            return parse(Json.parse(Files.readString(file)).asObject());
-        } catch (ParseException
-                | UnsupportedOperationException
+            return parse(PeerJson.parse(Files.readString(file)).asObject());
+        } catch (UnsupportedOperationException
                 | NullPointerException
                 | MalformedInputException
                 | IllegalArgumentException e) {
--- a/src/main/java/juniperusher/http/EndpointListParser.java
+++ b/src/main/java/juniperusher/http/EndpointListParser.java
@@ -1,9 +1,7 @@
 package juniperusher.http;
 
-import com.eclipsesource.json.Json;
 import com.eclipsesource.json.JsonObject;
 import com.eclipsesource.json.JsonValue;
-import com.eclipsesource.json.ParseException;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashSet;
@@ -12,6 +10,7 @@
 import juniperusher.Protocol.Phase;
 import juniperusher.membership.EndpointEntry;
 import juniperusher.membership.EndpointUpdate;
+import juniperusher.net.PeerJson;
 
 /** Parses the JSON format in which discovery's agent lists endpoints, a full list or a change. Thread-safe. */
 public final class EndpointListParser {
@@ -35,8 +34,16 @@
      */
     public EndpointUpdate parse(String text) {
         try {
-            return parse(Json.parse(text).asObject());
-        } catch (ParseException | UnsupportedOperationException | NumberFormatException e) {
+            return parse(parseObject(text));
+        } catch (UnsupportedOperationException | NumberFormatException e) {
+            throw new IllegalArgumentException("not a list of endpoints: " + e.getMessage(), e);
+        }
+    }
+
+    private static JsonObject parseObject(String text) {
+        try {
+            return PeerJson.parse(text).asObject();
+        } catch (IllegalArgumentException e) {
             throw new IllegalArgumentException("not a list of endpoints: " + e.getMessage(), e);
         }
     }
--- a/src/main/java/juniperusher/http/HttpSubchannels.java
+++ b/src/main/java/juniperusher/http/HttpSubchannels.java
@@ -1,10 +1,8 @@
 package juniperusher.http;
 
-import com.eclipsesource.json.Json;
 import com.eclipsesource.json.JsonArray;
 import com.eclipsesource.json.JsonObject;
 import com.eclipsesource.json.JsonValue;
-import com.eclipsesource.json.ParseException;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.Base64;
@@ -25,6 +23,7 @@
 import juniperusher.net.HttpMessage;
 import juniperusher.net.HttpPool;
 import juniperusher.net.Network;
+import juniperusher.net.PeerJson;
 
 /**
  * Calls endpoints over HTTP/1.1: POST /receive for one message, POST /receive-many for several, GET /alive for a probe.
@@ -200,7 +199,7 @@
         }
         Map<String, CallEnd> byId = new HashMap<>();
         try {
-            for (JsonValue value : Json.parse(response.bodyText()).asArray()) {
+            for (JsonValue value : PeerJson.parse(response.bodyText()).asArray()) {
                 JsonObject entry = value.asObject();
                 byId.put(
                         entry.getString("id", ""),
@@ -212,7 +211,7 @@
                             default -> CallEnd.FAILED;
                         });
             }
-        } catch (ParseException | UnsupportedOperationException e) {
+        } catch (IllegalArgumentException | UnsupportedOperationException e) {
             byId.clear(); // none of the results can be trusted, so each message may have run
         }
         return rpcs.stream()
--- a/src/main/java/juniperusher/mgmt/OperatorListener.java
+++ b/src/main/java/juniperusher/mgmt/OperatorListener.java
@@ -1,8 +1,6 @@
 package juniperusher.mgmt;
 
-import com.eclipsesource.json.Json;
 import com.eclipsesource.json.JsonValue;
-import com.eclipsesource.json.ParseException;
 import java.io.Closeable;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -13,6 +11,7 @@
 import juniperusher.net.HttpServerConnection;
 import juniperusher.net.InboundConnections;
 import juniperusher.net.Network;
+import juniperusher.net.PeerJson;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -134,8 +133,8 @@
     static String parseTarget(byte[] body) {
         JsonValue json;
         try {
-            json = Json.parse(new String(body, StandardCharsets.UTF_8));
-        } catch (ParseException | UnsupportedOperationException e) {
+            json = PeerJson.parse(new String(body, StandardCharsets.UTF_8));
+        } catch (IllegalArgumentException e) {
             throw new IllegalArgumentException("expected a JSON object {\"target\":\"ID\"}");
         }
         JsonValue target = json.isObject() ? json.asObject().get("target") : null;
--- a/src/main/java/juniperusher/net/HttpPool.java
+++ b/src/main/java/juniperusher/net/HttpPool.java
@@ -5,6 +5,9 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import juniperusher.core.CallEnd;
+import juniperusher.memory.HeapExhaustion;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Client for HTTP/1.1 exchanges with a pool of idle connections. {@link Reuse} decides whether a connection carries
@@ -13,6 +16,7 @@
  * the server is closing ends with a reset. The pool never repeats a request. All methods are thread-safe.
  */
 public final class HttpPool {
+    private static final Logger LOG = LoggerFactory.getLogger(HttpPool.class);
     // Bodies of messages have at most 64 KiB; this allows longer responses.
     private static final long MAX_RESPONSE_BYTES = 256 * 1024;
     private static final long EXPIRY_INTERVAL_MILLIS = 200; // between two looks for idle connections that have expired
@@ -63,8 +67,9 @@
     }
 
     /**
-     * Receives the result of an exchange: exactly one call of {@link #answered} or {@link #ended}. Calls may come on
-     * any thread, including the one that starts the exchange, and must not block.
+     * Receives the result of an exchange: exactly one call of {@link #answered} or {@link #ended}. If {@link
+     * #answered} throws, {@link #ended} follows. Calls may come on any thread, including the one that starts the
+     * exchange, and must not block.
      */
     public interface Listener {
         /** The whole response has been received. */
@@ -286,13 +291,24 @@
             if (reusable != null) {
                 release(this, reusable);
             }
-            if (strayInput) {
-                listener.answeredInDoubt(response);
-            } else {
-                listener.answered(response);
+            try {
+                if (strayInput) {
+                    listener.answeredInDoubt(response);
+                } else {
+                    listener.answered(response);
+                }
+            } catch (RuntimeException | Error e) {
+                endAfterFailure(e);
             }
         }
 
+        /** Nobody else ends an exchange that is finished, so a listener that could not handle the response is told. */
+        private void endAfterFailure(Throwable failure) {
+            HeapExhaustion.endProcessIfCausedBy(failure);
+            LOG.atError().addKeyValue("peer", key.address()).log("a response cannot be handled", failure);
+            listener.ended(CallEnd.SPOILT, statusLineCode);
+        }
+
         /** Something came on a connection that had carried other exchanges. */
         void answeredUnproven(HttpClientConnection reusable) {
             synchronized (this) {
--- a/src/test/java/juniperusher/faults/EndpointStandIn.java
+++ b/src/test/java/juniperusher/faults/EndpointStandIn.java
@@ -12,6 +12,7 @@
 /** The endpoint of a destination; {@code behaviour} decides the treatment of each call by the ids of its messages. */
 final class EndpointStandIn extends HttpStandIn {
     private static final int MAX_BODY_BYTES = 64 * 1024; // of any request, in the protocol
+    private static final int NESTED_BRACKETS = 1_000; // as many as the parser of the relay takes
     private static final long HANG_MILLIS = 120_000; // longer than any test
 
     private final MessageLedger ledger;
@@ -26,6 +27,8 @@
         REFUSE,
         HANG,
         CUT_ANSWER,
+        /** 200 to a shared call, with brackets that nest deep in place of the results; a delivery to any other. */
+        NESTED_ANSWER,
         RESET
     }
 
@@ -86,6 +89,13 @@
                 connection.write(whole.substring(0, whole.length() / 2));
                 return false;
             }
+            case NESTED_ANSWER -> {
+                if (!shared) {
+                    return treat(TreatmentKind.DELIVER, ids, false, call, connection);
+                }
+                ids.forEach(id -> ledger.callEnded(id, call, true, "answered with nested brackets"));
+                answer(connection, "200 OK", "", "[".repeat(NESTED_BRACKETS));
+            }
             case RESET -> {
                 ids.forEach(id -> ledger.callEnded(id, call, true, "reset"));
                 connection.reset();
