Tests pick ports below the kernel's own range and keep them from each other

Change: TestPorts picks from below net.ipv4.ip_local_port_range, which the kernel hands to nobody, and holds a file lock on each port until the process ends, so that two test runs beside each other differ.

--- a/src/test/java/juniperusher/amqp/TenThousandOrdersTest.java
+++ b/src/test/java/juniperusher/amqp/TenThousandOrdersTest.java
@@ -7,9 +7,7 @@
 import com.eclipsesource.json.JsonArray;
 import com.eclipsesource.json.JsonObject;
 import java.io.IOException;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -19,6 +17,7 @@
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import juniperusher.TestPorts;
 import org.testng.annotations.Test;
 
 /**
@@ -132,9 +131,7 @@
     }
 
     private static InetSocketAddress unusedAddress() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-            return new InetSocketAddress("127.0.0.1", socket.getLocalPort());
-        }
+        return new InetSocketAddress("127.0.0.1", TestPorts.unused());
     }
 
     private static String hostAndPort(InetSocketAddress address) {
--- a/src/test/java/juniperusher/cli/FleetCommandsTest.java
+++ b/src/test/java/juniperusher/cli/FleetCommandsTest.java
@@ -8,8 +8,6 @@
 import com.eclipsesource.json.JsonObject;
 import java.io.InputStream;
 import java.io.InputStreamReader;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
@@ -20,6 +18,7 @@
 import java.util.function.BooleanSupplier;
 import java.util.regex.Pattern;
 import java.util.stream.Stream;
+import juniperusher.TestPorts;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -64,20 +63,14 @@
         return process;
     }
 
-    private static int unusedPort() throws Exception {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-            return socket.getLocalPort();
-        }
-    }
-
     private int writeRelayConfiguration() throws Exception {
         JsonObject configuration;
         try (InputStream in = Main.class.getResourceAsStream("/selftest.json")) {
             configuration = Json.parse(new InputStreamReader(in, StandardCharsets.UTF_8))
                     .asObject();
         }
-        int port = unusedPort();
-        configuration.set("listen", "127.0.0.1:" + port).set("discovery", "127.0.0.1:" + unusedPort());
+        int port = TestPorts.unused();
+        configuration.set("listen", "127.0.0.1:" + port).set("discovery", "127.0.0.1:" + TestPorts.unused());
         Files.writeString(folder.resolve("relay.json"), configuration.toString());
         return port;
     }
@@ -138,7 +131,7 @@
     @Test
     void serveWithFleetSubscribesAndReportsTheMapInItsMetrics() throws Exception {
         int port = writeRelayConfiguration();
-        int control = unusedPort();
+        int control = TestPorts.unused();
         Files.writeString(folder.resolve("relays"), "relay-1 north a 1\n");
         Files.writeString(
                 folder.resolve("control.toml"),
--- a/src/test/java/juniperusher/faults/RelayUnderTest.java
+++ b/src/test/java/juniperusher/faults/RelayUnderTest.java
@@ -4,9 +4,7 @@
 import com.eclipsesource.json.JsonArray;
 import com.eclipsesource.json.JsonObject;
 import java.io.IOException;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
@@ -15,6 +13,7 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
+import juniperusher.TestPorts;
 
 /** A relay process that runs {@code serve} with the JVM options of the deployment and the fault library. */
 final class RelayUnderTest implements AutoCloseable {
@@ -47,9 +46,7 @@
         log = folder.resolve("log" + suffix);
         Path state = Files.createDirectories(folder.resolve("state"));
         faults = new FaultShim(state, folder.resolve("faults" + suffix));
-        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-            port = free.getLocalPort();
-        }
+        port = TestPorts.unused();
         config = Json.parse(Files.readString(Path.of("src/main/resources/selftest.json")))
                 .asObject();
         config.set("listen", "127.0.0.1:" + port).set("discovery", "127.0.0.1:" + platform.port());
--- a/src/test/java/juniperusher/fleet/EventLoopTest.java
+++ b/src/test/java/juniperusher/fleet/EventLoopTest.java
@@ -5,9 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -17,6 +15,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import juniperusher.TestPorts;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -183,10 +182,7 @@
 
     @Test
     void failedConnectOrHandlerClosesOnlyItsConnection() throws Exception {
-        InetSocketAddress closedPort;
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-            closedPort = new InetSocketAddress("127.0.0.1", socket.getLocalPort());
-        }
+        InetSocketAddress closedPort = new InetSocketAddress("127.0.0.1", TestPorts.unused());
         assertEquals("closed", dial(closedPort).nextEvent());
         Recorder failing = new Recorder() {
             @Override
--- a/src/test/java/juniperusher/http/EndpointReplacementTest.java
+++ b/src/test/java/juniperusher/http/EndpointReplacementTest.java
@@ -12,6 +12,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
+import juniperusher.TestPorts;
 import juniperusher.core.Counters;
 import juniperusher.net.Network;
 import org.junit.jupiter.api.Test;
@@ -69,7 +70,7 @@
                 Generation after = new Generation();
                 FakeAgent agent = new FakeAgent(FakeAgent.list(1, true, before.listEntries("a", "up")));
                 Network network = new Network(1)) {
-            int listen = FakeServer.unusedPort();
+            int listen = TestPorts.unused();
             Counters counters = new Counters();
             RelayServer relayServer = new RelayServer(
                     FakeServer.config(folder, listen, agent.port()), folder.resolve("state"), counters, network, null);
--- a/src/test/java/juniperusher/http/FakeServer.java
+++ b/src/test/java/juniperusher/http/FakeServer.java
@@ -59,12 +59,6 @@
         server.close();
     }
 
-    static int unusedPort() throws IOException {
-        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-            return free.getLocalPort();
-        }
-    }
-
     /** Writes and reads the configuration of a relay without endpoints; both arguments are ports on loopback. */
     static Config config(Path folder, int listen, int discovery) throws IOException {
         JsonObject json = Json.parse(Files.readString(Path.of("src/main/resources/selftest.json")))
--- a/src/test/java/juniperusher/http/IdleClientsWhileDiscoveryIsDownTest.java
+++ b/src/test/java/juniperusher/http/IdleClientsWhileDiscoveryIsDownTest.java
@@ -6,13 +6,12 @@
 import com.eclipsesource.json.Json;
 import com.eclipsesource.json.JsonArray;
 import com.eclipsesource.json.JsonObject;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import juniperusher.TestPorts;
 import juniperusher.core.Counters;
 import juniperusher.net.ExchangePlayer;
 import juniperusher.net.Network;
@@ -35,10 +34,7 @@
         List<Socket> idle = new ArrayList<>();
         try (ExchangePlayer player = new ExchangePlayer();
                 Network network = new Network(1, DESCRIPTORS)) {
-            int listen;
-            try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-                listen = free.getLocalPort();
-            }
+            int listen = TestPorts.unused();
             player.client("client", listen);
             JsonObject json = Json.parse(Files.readString(Path.of("src/main/resources/selftest.json")))
                     .asObject();
--- a/src/test/java/juniperusher/http/MaintenanceRestartTest.java
+++ b/src/test/java/juniperusher/http/MaintenanceRestartTest.java
@@ -13,6 +13,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import juniperusher.TestPorts;
 import juniperusher.core.Counters;
 import juniperusher.maintenance.Maintenance;
 import juniperusher.maintenance.MaintenanceFile;
@@ -31,11 +32,10 @@
     private static Config config(Path folder, String... endpointIds) throws Exception {
         JsonObject json = Json.parse(Files.readString(Path.of("src/main/resources/selftest.json")))
                 .asObject();
-        json.set("listen", "127.0.0.1:" + FakeServer.unusedPort())
-                .set("discovery", "127.0.0.1:" + FakeServer.unusedPort());
+        json.set("listen", "127.0.0.1:" + TestPorts.unused()).set("discovery", "127.0.0.1:" + TestPorts.unused());
         JsonArray servers = json.get("known").asObject().get("servers").asArray();
         for (String id : endpointIds) {
-            servers.add(Json.parse(ENDPOINT.formatted(id, FakeServer.unusedPort())));
+            servers.add(Json.parse(ENDPOINT.formatted(id, TestPorts.unused())));
         }
         return Config.read(Files.writeString(folder.resolve("config.json"), json.toString()));
     }
--- a/src/test/java/juniperusher/http/PartialRequestTest.java
+++ b/src/test/java/juniperusher/http/PartialRequestTest.java
@@ -9,6 +9,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import juniperusher.TestPorts;
 import juniperusher.core.Counters;
 import juniperusher.net.Network;
 import org.junit.jupiter.api.Test;
@@ -35,7 +36,7 @@
         try (FakeEndpoint endpoint = new FakeEndpoint();
                 FakeAgent agent = new FakeAgent(FakeAgent.list(1, true, FakeAgent.server("a", endpoint.port(), "up")));
                 Network network = new Network(1)) {
-            int listen = FakeServer.unusedPort();
+            int listen = TestPorts.unused();
             Counters counters = new Counters();
             RelayServer relayServer = new RelayServer(
                     FakeServer.config(folder, listen, agent.port()), folder.resolve("state"), counters, network, null);
--- a/src/test/java/juniperusher/http/ReloadTest.java
+++ b/src/test/java/juniperusher/http/ReloadTest.java
@@ -19,6 +19,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import juniperusher.Protocol.Effect;
+import juniperusher.TestPorts;
 import juniperusher.core.Counters;
 import juniperusher.net.Network;
 import org.testng.annotations.Test;
@@ -28,14 +29,14 @@
     private static JsonObject baseFile(int listen) throws Exception {
         JsonObject json = Json.parse(Files.readString(Path.of("src/main/resources/selftest.json")))
                 .asObject();
-        json.set("listen", "127.0.0.1:" + listen).set("discovery", "127.0.0.1:" + FakeServer.unusedPort());
+        json.set("listen", "127.0.0.1:" + listen).set("discovery", "127.0.0.1:" + TestPorts.unused());
         json.get("known")
                 .asObject()
                 .set(
                         "servers",
                         new JsonArray()
                                 .add(Json.parse("{\"id\":\"s-1\","
-                                        + "\"addr\":\"127.0.0.1:" + FakeServer.unusedPort()
+                                        + "\"addr\":\"127.0.0.1:" + TestPorts.unused()
                                         + "\",\"zone\":\"a\",\"kind\":\"pequeno-projeto\","
                                         + "\"cell\":7,\"state\":\"up\",\"weight\":1.0,\"started_ms\":0}")));
         return json;
@@ -58,7 +59,7 @@
     @Test
     public void classesKeepTheirIndexNewOnesAreAppendedAndNewLimitsApply() throws Exception {
         Path folder = Files.createTempDirectory("retune");
-        JsonObject old = baseFile(FakeServer.unusedPort());
+        JsonObject old = baseFile(TestPorts.unused());
         Config first = Config.read(Files.writeString(folder.resolve("a.json"), old.toString()));
         Config read = Config.read(
                 Files.writeString(folder.resolve("b.json"), newerFile(old).toString()));
@@ -82,7 +83,7 @@
     @Test
     public void anInvalidFileIsReportedInOneLine() throws Exception {
         Path folder = Files.createTempDirectory("broken");
-        JsonObject old = baseFile(FakeServer.unusedPort());
+        JsonObject old = baseFile(TestPorts.unused());
         String whole = old.toString();
         JsonObject noKey = Json.parse(whole).asObject();
         noKey.get("settings").asObject().remove("allowed");
@@ -118,7 +119,7 @@
     @Test
     public void aFileThatLacksAnyKeyOfTheOneInForceIsRejected() throws Exception {
         Path folder = Files.createTempDirectory("incomplete");
-        JsonObject whole = baseFile(FakeServer.unusedPort());
+        JsonObject whole = baseFile(TestPorts.unused());
         Config inForce = Config.read(Files.writeString(folder.resolve("a.json"), whole.toString()));
         List<String> accepted = new ArrayList<>();
         for (String without : filesWithoutOneKey(whole)) {
@@ -159,7 +160,7 @@
     @Test
     public void aFileMayLackOptionalKeysAndTenants() throws Exception {
         Path folder = Files.createTempDirectory("optional");
-        JsonObject whole = baseFile(FakeServer.unusedPort());
+        JsonObject whole = baseFile(TestPorts.unused());
         String withoutThem = whole.toString();
         JsonObject settings = whole.get("settings").asObject();
         settings.get("obligations").asObject().set("keyQuietS", 0.5);
@@ -178,7 +179,7 @@
     @Test
     public void classNamesHaveToBeUnique() throws Exception {
         Path folder = Files.createTempDirectory("twice");
-        JsonObject twice = baseFile(FakeServer.unusedPort());
+        JsonObject twice = baseFile(TestPorts.unused());
         twice.get("settings")
                 .asObject()
                 .get("requestClasses")
@@ -211,7 +212,7 @@
     @Test
     public void aReloadAddsANewClassAndAnInvalidFileChangesNothing() throws Exception {
         Path folder = Files.createTempDirectory("retune-socket");
-        int listen = FakeServer.unusedPort();
+        int listen = TestPorts.unused();
         JsonObject old = baseFile(listen);
         Path file = Files.writeString(folder.resolve("config.json"), old.toString());
         Counters counters = new Counters();
--- a/src/test/java/juniperusher/http/RestartTest.java
+++ b/src/test/java/juniperusher/http/RestartTest.java
@@ -8,6 +8,7 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import juniperusher.TestPorts;
 import juniperusher.core.Counters;
 import juniperusher.net.Network;
 import org.junit.jupiter.api.Test;
@@ -40,7 +41,7 @@
                 Network network = new Network(1)) {
             agent.listDelayMillis = AGENT_DELAY_MILLIS;
             agent.behavior = behavior;
-            int listen = FakeServer.unusedPort();
+            int listen = TestPorts.unused();
             Config withoutEndpoints = FakeServer.config(folder, listen, agent.port());
             JsonObject json =
                     Json.parse(Files.readString(folder.resolve("c.json"))).asObject();
--- a/src/test/java/juniperusher/http/StormPackageTest.java
+++ b/src/test/java/juniperusher/http/StormPackageTest.java
@@ -9,6 +9,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
+import juniperusher.TestPorts;
 import juniperusher.core.Counters;
 import juniperusher.net.Network;
 import juniperusher.storm.StormSettings;
@@ -31,7 +32,7 @@
         try (FakeEndpoint endpoint = new FakeEndpoint();
                 FakeAgent agent = new FakeAgent("{}");
                 Network network = new Network(1)) {
-            int listen = FakeServer.unusedPort();
+            int listen = TestPorts.unused();
             agent.list = FakeAgent.list(
                     1,
                     true,
--- a/src/test/java/juniperusher/http/UnfamiliarNamesTest.java
+++ b/src/test/java/juniperusher/http/UnfamiliarNamesTest.java
@@ -6,8 +6,6 @@
 import com.eclipsesource.json.JsonArray;
 import com.eclipsesource.json.JsonObject;
 import java.io.IOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
@@ -16,6 +14,7 @@
 import juniperusher.Protocol.Effect;
 import juniperusher.Protocol.Phase;
 import juniperusher.Protocol.Target;
+import juniperusher.TestPorts;
 import juniperusher.clock.SteadyClock;
 import juniperusher.core.CallEnd;
 import juniperusher.core.CallResult;
@@ -44,10 +43,7 @@
         player = new ExchangePlayer();
         folder = Files.createTempDirectory("names");
         network = new Network(1);
-        int listen;
-        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-            listen = free.getLocalPort();
-        }
+        int listen = TestPorts.unused();
         player.client("client", listen);
         JsonObject json = Json.parse(Files.readString(Path.of("src/main/resources/selftest.json")))
                 .asObject();
--- a/src/test/java/juniperusher/mgmt/OperatorListenerTest.java
+++ b/src/test/java/juniperusher/mgmt/OperatorListenerTest.java
@@ -10,13 +10,13 @@
 import java.io.OutputStream;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import juniperusher.TestPorts;
 import juniperusher.net.HttpMessage;
 import juniperusher.net.HttpServerConnection;
 import juniperusher.net.Network;
@@ -36,9 +36,7 @@
     public void startListener() throws Exception {
         serving = false;
         underMaintenance.clear();
-        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            port = free.getLocalPort();
-        }
+        port = TestPorts.unused();
         network = new Network(1.0);
         operatorListener =
                 OperatorListener.listen(network, new InetSocketAddress(InetAddress.getLoopbackAddress(), port));
--- a/src/test/java/juniperusher/net/ExchangesTest.java
+++ b/src/test/java/juniperusher/net/ExchangesTest.java
@@ -4,11 +4,10 @@
 import com.eclipsesource.json.JsonArray;
 import com.eclipsesource.json.JsonObject;
 import java.io.IOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.stream.Stream;
+import juniperusher.TestPorts;
 import juniperusher.amqp.AmqpConfig;
 import juniperusher.amqp.AmqpExtension;
 import juniperusher.core.Counters;
@@ -28,12 +27,6 @@
         }
     }
 
-    private static int freePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-            return socket.getLocalPort();
-        }
-    }
-
     private static String localAddress(int port) {
         return "127.0.0.1:" + port;
     }
@@ -44,8 +37,8 @@
         try (ExchangePlayer player = new ExchangePlayer()) {
             JsonObject json = Json.parse(Files.readString(Path.of("src/main/resources/selftest.json")))
                     .asObject();
-            int listen = freePort();
-            int amqp = freePort();
+            int listen = TestPorts.unused();
+            int amqp = TestPorts.unused();
             player.client("client", listen);
             player.client("publisher", amqp);
             json.set("listen", localAddress(listen)).set("discovery", localAddress(player.server("platform")));
--- a/src/test/java/juniperusher/net/HttpServerConnectionTest.java
+++ b/src/test/java/juniperusher/net/HttpServerConnectionTest.java
@@ -6,9 +6,7 @@
 
 import java.io.Closeable;
 import java.io.IOException;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -17,6 +15,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import juniperusher.TestPorts;
 import juniperusher.memory.HeapShares;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
@@ -47,9 +46,7 @@
         handlerBlocked = new CountDownLatch(1);
         releaseHandler = new CountDownLatch(1);
         network = new Network(1, DESCRIPTORS, new HeapShares(REQUEST_BYTES, 0, 0));
-        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-            port = free.getLocalPort();
-        }
+        port = TestPorts.unused();
         listener = network.listen(
                 new InetSocketAddress("127.0.0.1", port),
                 endPoint -> new HttpServerConnection(endPoint, network, 1024, new HttpServerConnection.Handler() {
--- a/src/test/java/juniperusher/net/RestartTest.java
+++ b/src/test/java/juniperusher/net/RestartTest.java
@@ -7,12 +7,11 @@
 import com.eclipsesource.json.JsonArray;
 import com.eclipsesource.json.JsonObject;
 import java.io.IOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.concurrent.TimeUnit;
+import juniperusher.TestPorts;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -32,9 +31,7 @@
     public void configure() throws Exception {
         folder = Files.createTempDirectory("restart");
         player = new ExchangePlayer();
-        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-            port = free.getLocalPort();
-        }
+        port = TestPorts.unused();
         player.client("client", port);
         JsonObject json = Json.parse(Files.readString(Path.of("src/main/resources/selftest.json")))
                 .asObject();
--- a/src/test/java/juniperusher/net/UpgradeTest.java
+++ b/src/test/java/juniperusher/net/UpgradeTest.java
@@ -20,6 +20,7 @@
 import java.util.function.BooleanSupplier;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
+import juniperusher.TestPorts;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.Test;
 
@@ -197,8 +198,8 @@
                 .get(1)
                 .asObject()
                 .set("objectiveS", 4);
-        int firstPort = freePort();
-        int secondPort = freePort();
+        int firstPort = TestPorts.unused();
+        int secondPort = TestPorts.unused();
         Path firstConfig = Files.writeString(
                 folder.resolve("one.json"),
                 json.set("listen", "127.0.0.1:" + firstPort).toString());
@@ -226,10 +227,4 @@
         assertEquals(receivedCount("order"), 1L, "an order that may have run was sent again");
         assertEquals(receivedCount("notice"), 1L, "a delivered notice was sent again");
     }
-
-    private static int freePort() throws IOException {
-        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return free.getLocalPort();
-        }
-    }
 }
