--- a/src/main/java/juniperusher/core/Journal.java
+++ b/src/main/java/juniperusher/core/Journal.java
@@ -57,6 +57,7 @@
     private final RememberedEnds rememberedEnds;
     private final List<UnfinishedMessage> recovered;
     private final List<Runnable> actionsOnceWritten = new ArrayList<>();
+    private final OtherFiles otherFiles;
     private JournalSegments segments;
     private OtherProcessMessages otherProcess; // null until there is another process
     private int firstSegment = SegmentNumbers.NONE; // a snapshot replaces the segments from here on; NONE: all
@@ -94,6 +95,7 @@
         room = new JournalRoom(diskBytes, maxPending);
         maxRememberedEndBytes = room.limitBytes() / REMEMBERED_ENDS_DIVISOR;
         rememberedEnds = new RememberedEnds(maxRememberedEndBytes);
+        otherFiles = new OtherFiles(folder);
         openFolder(successor);
         recovered = List.copyOf(unfinished.values());
         unfinishedBytes = unfinished.values().stream()
@@ -339,7 +341,7 @@
 
     private JournalRoom.Use roomUse() {
         long otherProcessBytes = otherProcess == null ? 0 : otherProcess.segmentBytes();
-        return new JournalRoom.Use(segments.bytes(), snapshotBytes(), otherProcessBytes);
+        return new JournalRoom.Use(segments.bytes(), snapshotBytes(), otherProcessBytes, otherFiles.bytes());
     }
 
     /** As {@link #roomUse}, with a new look at what the other process of an upgrade has written meanwhile. */
--- a/src/main/java/juniperusher/core/JournalRoom.java
+++ b/src/main/java/juniperusher/core/JournalRoom.java
@@ -21,8 +21,9 @@
 
     // Upper bound of the bytes that an accepted RPC still adds in small records (attempts, outcomes, its end).
     private static final int SMALL_RECORD_BYTES_PER_RPC = 560;
-    // Kept free for rounding up file sizes to disk blocks and for the folder itself.
+    // Kept free for rounding up file sizes to disk blocks and for other files, which are small as a rule.
     private static final int FOLDER_OVERHEAD_BYTES = 8 * 1024;
+    private static final int SMALL_FILE_BYTES = FOLDER_OVERHEAD_BYTES / 2;
     private static final int MAX_RESERVE_DIVISOR = 4; // the part of the room that small records may reserve
     // A snapshot for a small record has to free this part of the reserve: the rest may be used since the last one.
     private static final int FREED_RESERVE_DIVISOR = 2;
@@ -36,20 +37,24 @@
      * @param segments the journal's own segments
      * @param snapshot a snapshot of the journal's current state, as an upper bound
      * @param otherProcess the segments of the other process of an upgrade; 0 without one
+     * @param otherFiles all files that are no segments
      */
-    record Use(long segments, long snapshot, long otherProcess) {
+    record Use(long segments, long snapshot, long otherProcess, long otherFiles) {
         /** What a snapshot would free. */
         private long garbage() {
             return segments - snapshot;
         }
 
-        /** The most that the folder holds while both processes write a snapshot. */
+        /**
+         * The most that the folder holds while both processes write a snapshot and the other files are replaced, which
+         * have a second copy then, too.
+         */
         private long withSnapshots() {
-            return segments + snapshot + 2 * otherProcess;
+            return segments + snapshot + 2 * otherProcess + Math.max(0, 2 * otherFiles - SMALL_FILE_BYTES);
         }
 
         private Use afterSnapshot() {
-            return new Use(snapshot, snapshot, otherProcess);
+            return new Use(snapshot, snapshot, otherProcess, otherFiles);
         }
     }
 
--- a/src/main/java/juniperusher/core/JournalSegments.java
+++ b/src/main/java/juniperusher/core/JournalSegments.java
@@ -42,12 +42,17 @@
     /** All segments in the folder, of any writer, the oldest first. */
     static List<Path> all(Path folder) throws IOException {
         try (Stream<Path> paths = Files.list(folder)) {
-            return paths.filter(path -> path.getFileName().toString().matches(PREFIX + "\\d{8,9}"))
+            return paths.filter(JournalSegments::isSegment)
                     .sorted(Comparator.comparing(JournalSegments::number, SegmentNumbers::compare))
                     .toList();
         }
     }
 
+    /** Whether the file's name is that of a segment. */
+    static boolean isSegment(Path file) {
+        return file.getFileName().toString().matches(PREFIX + "\\d{8,9}");
+    }
+
     /** The number in a segment's file name. */
     static int number(Path segment) {
         return Integer.parseInt(segment.getFileName().toString().substring(PREFIX.length()));
--- a/src/test/java/juniperusher/core/JournalRoomTest.java
+++ b/src/test/java/juniperusher/core/JournalRoomTest.java
@@ -16,7 +16,7 @@
 
     @Test
     public void snapshotThatFreesNothingNeverPays() {
-        JournalRoom.Use full = new JournalRoom.Use(1_400_000, 1_400_000, 0);
+        JournalRoom.Use full = new JournalRoom.Use(1_400_000, 1_400_000, 0, 0);
         assertFalse(room.admits(full, 20_000));
         assertFalse(room.snapshotPaysForMessage(full, 20_000));
         assertFalse(room.snapshotPaysForRecord(full));
@@ -24,18 +24,18 @@
 
     @Test
     public void snapshotPaysForAMessageThatIsAdmittedAfterIt() {
-        assertTrue(room.snapshotPaysForMessage(new JournalRoom.Use(1_700_000, 1_100_000, 0), 20_000));
+        assertTrue(room.snapshotPaysForMessage(new JournalRoom.Use(1_700_000, 1_100_000, 0, 0), 20_000));
         // not admitted after it either
-        assertFalse(room.snapshotPaysForMessage(new JournalRoom.Use(1_700_000, 1_100_000, 0), 400_000));
+        assertFalse(room.snapshotPaysForMessage(new JournalRoom.Use(1_700_000, 1_100_000, 0, 0), 400_000));
         // frees less than a quarter of what it writes
-        assertFalse(room.snapshotPaysForMessage(new JournalRoom.Use(1_600_000, 1_300_000, 0), 20_000));
+        assertFalse(room.snapshotPaysForMessage(new JournalRoom.Use(1_600_000, 1_300_000, 0, 0), 20_000));
     }
 
     @Test
     public void snapshotNeverPaysWithoutRoomBesideBothProcesses() {
-        assertFalse(room.snapshotPaysForMessage(new JournalRoom.Use(1_400_000, 700_000, 600_000), 1_000));
-        assertFalse(room.snapshotPaysForRecord(new JournalRoom.Use(1_400_000, 700_000, 600_000)));
-        assertTrue(room.snapshotPaysForRecord(new JournalRoom.Use(1_400_000, 700_000, 500_000)));
+        assertFalse(room.snapshotPaysForMessage(new JournalRoom.Use(1_400_000, 700_000, 600_000, 0), 1_000));
+        assertFalse(room.snapshotPaysForRecord(new JournalRoom.Use(1_400_000, 700_000, 600_000, 0)));
+        assertTrue(room.snapshotPaysForRecord(new JournalRoom.Use(1_400_000, 700_000, 500_000, 0)));
     }
 
     /** Whatever two processes accept and end, two snapshots at the same moment fit beside their segments. */
@@ -47,7 +47,7 @@
         long[] snapshot = new long[2];
         for (int step = 0; step < 100_000; step++) {
             int own = random.nextInt(2);
-            JournalRoom.Use use = new JournalRoom.Use(segments[own], snapshot[own], segments[1 - own]);
+            JournalRoom.Use use = new JournalRoom.Use(segments[own], snapshot[own], segments[1 - own], 0);
             long size = 1 + random.nextInt(64 * 1024);
             if (random.nextInt(3) == 0) {
                 snapshot[own] -= Math.min(snapshot[own], size); // a message ends
--- a/src/test/java/juniperusher/core/JournalTest.java
+++ b/src/test/java/juniperusher/core/JournalTest.java
@@ -234,6 +234,19 @@
         assertTrue(accepts(journal, request("next", false, 20_000)), "the room of ended messages is not used");
     }
 
+    // Guards against a folder over its limit because only the journal's own files are counted.
+    @Test
+    public void otherFilesCountTowardsTheRoom() throws Exception {
+        Path folder = Files.createTempDirectory("journal");
+        Files.write(folder.resolve("maintenance"), new byte[200_000]);
+        Files.write(folder.resolve("maintenance.new"), new byte[200_000]); // while it is replaced
+        Journal journal = new Journal(folder, DISK_BYTES, 10);
+        int accepted = fill(journal, 20_000);
+        assertTrue(accepted > 50, "only " + accepted + " accepted");
+        long copy = journal.sizeBytes();
+        assertTrue(folderBytes(folder) + copy <= DISK_BYTES, "no room for a snapshot beside " + folderBytes(folder));
+    }
+
     // Guards against a journal without an open segment, which refused every message until some other step was written.
     @Test
     public void acceptsMessagesAgainAfterItsSegmentWasClosed() throws Exception {
