--- a/src/main/java/juniperusher/core/Journal.java
+++ b/src/main/java/juniperusher/core/Journal.java
@@ -1,6 +1,5 @@
 package juniperusher.core;
 
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.file.AccessDeniedException;
 import java.nio.file.FileAlreadyExistsException;
@@ -8,9 +7,7 @@
 import java.nio.file.NotDirectoryException;
 import java.nio.file.Path;
 import java.util.ArrayList;
-import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
 import juniperusher.clock.SteadyClock;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -38,7 +35,6 @@
  */
 public final class Journal {
     private static final Logger LOG = LoggerFactory.getLogger(Journal.class);
-    private static final int MAX_SNAPSHOT_BUFFER_BYTES = 16 << 20; // allocated at once; a longer one grows
     private static final int REMEMBERED_ENDS_DIVISOR = 8; // the part of the journal that they may take
     // Between the owner's last segment and the successor's first: the owner writes further segments meanwhile.
     private static final int SUCCESSOR_SEGMENT_OFFSET = 10_000;
@@ -53,16 +49,13 @@
     private final Path folder;
     private final JournalRoom room;
     private final long maxRememberedEndBytes;
-    private final Map<Integer, UnfinishedMessage> unfinished = new LinkedHashMap<>();
-    private final RememberedEnds rememberedEnds;
+    private final JournalState state;
     private final List<UnfinishedMessage> recovered;
     private final List<Runnable> actionsOnceWritten = new ArrayList<>();
     private final OtherFiles otherFiles;
     private JournalSegments segments;
     private OtherProcessMessages otherProcess; // null until there is another process
     private int firstSegment = SegmentNumbers.NONE; // a snapshot replaces the segments from here on; NONE: all
-    private long unfinishedBytes; // size of the unfinished messages in a snapshot of the current state
-    private MessageNumbers numbers;
     private OwnerLock ownerLock;
     private boolean isOwner;
     private boolean snapshotNeeded; // the segments lack steps, or room for them
@@ -94,13 +87,10 @@
         this.folder = folder;
         room = new JournalRoom(diskBytes, maxPending);
         maxRememberedEndBytes = room.limitBytes() / REMEMBERED_ENDS_DIVISOR;
-        rememberedEnds = new RememberedEnds(maxRememberedEndBytes);
+        state = new JournalState(maxRememberedEndBytes);
         otherFiles = new OtherFiles(folder);
         openFolder(successor);
-        recovered = List.copyOf(unfinished.values());
-        unfinishedBytes = unfinished.values().stream()
-                .mapToLong(UnfinishedMessage::sizeBytes)
-                .sum();
+        recovered = List.copyOf(state.unfinished());
         snapshotNeeded = true;
         // if this fails, the unfinished messages are still known and the old segments stay
         writeSnapshotIfNeeded();
@@ -151,20 +141,19 @@
             // The other process still writes its segments: only the numbers that it uses are needed here. Its ends are
             // looked up in its segments, since a second copy of them would need room beside its snapshots.
             firstSegment = SegmentNumbers.plus(newest, SUCCESSOR_SEGMENT_OFFSET);
-            numbers = MessageNumbers.apartFrom(replay.usedNumberRanges());
+            state.setNumbers(MessageNumbers.apartFrom(replay.usedNumberRanges()));
             segments = new JournalSegments(folder, firstSegment);
             LOG.atInfo()
                     .addKeyValue("segments", found.size())
                     .addKeyValue("first_segment", firstSegment)
-                    .addKeyValue("number_range", numbers.range())
+                    .addKeyValue("number_range", state.numberRange())
                     .log("journal: another process owns the folder; what it owes is taken up once it ends");
             return;
         }
         segments = new JournalSegments(folder, newest);
         addToOwnSegments(found, replay);
-        replay.rememberedEnds().forEach(rememberedEnds::add);
-        numbers = new MessageNumbers(replay.lastNumberRange());
-        replay.unfinished().values().forEach(this::adopt);
+        state.setNumbers(new MessageNumbers(replay.lastNumberRange()));
+        state.adopt(replay);
     }
 
     /**
@@ -187,13 +176,6 @@
                 .log("journal: incomplete and replaced segments of an earlier process removed");
     }
 
-    /** Adds a message of an earlier process under a new number, which becomes valid with the next snapshot. */
-    private UnfinishedMessage adopt(UnfinishedMessage other) {
-        UnfinishedMessage entry = other.afterRestart().withNumber(numbers.next(unfinished::containsKey));
-        unfinished.put(entry.number(), entry);
-        return entry;
-    }
-
     private static void resumeClock(JournalReplay replay) {
         if (replay.clockMark() == null) {
             return;
@@ -237,13 +219,7 @@
                 .filter(path -> !segments.owns(path))
                 .toList();
         JournalReplay replay = JournalReplay.of(otherSegments);
-        List<UnfinishedMessage> takenOver = new ArrayList<>();
-        for (UnfinishedMessage otherEntry : replay.unfinished().values()) {
-            UnfinishedMessage entry = adopt(otherEntry);
-            unfinishedBytes += entry.sizeBytes();
-            takenOver.add(entry);
-        }
-        replay.rememberedEnds().forEach(rememberedEnds::add);
+        List<UnfinishedMessage> takenOver = state.adopt(replay);
         addToOwnSegments(otherSegments, replay);
         // from now on a snapshot replaces the other segments too
         firstSegment = SegmentNumbers.NONE;
@@ -279,7 +255,7 @@
 
     /** Time at which an unfinished RPC was accepted, in microseconds of {@link SteadyClock}; 0 if unknown. */
     public synchronized long acceptedAtMicros(int number) {
-        UnfinishedMessage entry = unfinished.get(number);
+        UnfinishedMessage entry = state.get(number);
         return entry == null ? 0 : entry.acceptedAtMicros();
     }
 
@@ -317,31 +293,25 @@
      * @throws JournalUnavailableException if it is not written and must not be accepted
      */
     public synchronized int writeAccepted(RpcRequest request, String className) {
-        int number = numbers.next(unfinished::containsKey);
+        int number = state.nextNumber();
         UnfinishedMessage entry =
                 new UnfinishedMessage(number, request, className, SteadyClock.micros(), 0, null, null, null);
         long size = entry.sizeBytes();
         if (!room.admits(roomUse(), size)) {
-            rememberedEnds.removeOld(SteadyClock.millis());
+            state.forgetOldEnds(SteadyClock.millis());
             // a snapshot in a new segment frees the room of finished messages
             snapshotNeeded |= room.snapshotPaysForMessage(measuredRoomUse(), size);
         }
         if (!writeSnapshotIfNeeded() || !room.admits(roomUse(), size) || !append(JournalRecords.accepted(entry))) {
             throw new JournalUnavailableException(null);
         }
-        unfinished.put(number, entry);
-        unfinishedBytes += size;
+        state.put(entry);
         return number;
     }
 
-    /** Size of a snapshot of the current state. */
-    private long snapshotBytes() {
-        return unfinishedBytes + rememberedEnds.bytes();
-    }
-
     private JournalRoom.Use roomUse() {
         long otherProcessBytes = otherProcess == null ? 0 : otherProcess.segmentBytes();
-        return new JournalRoom.Use(segments.bytes(), snapshotBytes(), otherProcessBytes, otherFiles.bytes());
+        return new JournalRoom.Use(segments.bytes(), state.snapshotBytes(), otherProcessBytes, otherFiles.bytes());
     }
 
     /** As {@link #roomUse}, with a new look at what the other process of an upgrade has written meanwhile. */
@@ -362,14 +332,13 @@
      */
     public synchronized Attempt writeAttempt(int number, int zoneIndex) {
         Attempt attempt = new Attempt(SteadyClock.millis(), zoneIndex);
-        UnfinishedMessage entry = unfinished.get(number);
-        UnfinishedMessage updated = entry.withAttempt(attempt);
+        UnfinishedMessage updated = state.get(number).withAttempt(attempt);
         byte[] record = JournalRecords.attempt(number, attempt);
         makeRoomFor(record);
         if (!writeSnapshotIfNeeded() || !append(record)) {
             throw new JournalUnavailableException(null);
         }
-        unfinished.put(number, updated);
+        state.put(updated);
         return attempt;
     }
 
@@ -377,7 +346,7 @@
 
     /** Records the end of the attempt in flight. */
     public synchronized void writeOutcome(int number, boolean neverRan) {
-        unfinished.put(number, unfinished.get(number).withOutcome(neverRan));
+        state.put(state.get(number).withOutcome(neverRan));
         appendOrSnapshot(JournalRecords.outcome(number, neverRan));
     }
 
@@ -387,14 +356,11 @@
      * @return whether the end is already in the folder
      */
     public synchronized boolean writeEnd(int number, RpcEnd end) {
-        UnfinishedMessage entry = unfinished.get(number);
-        unfinishedBytes -= entry.sizeBytes();
-        entry = entry.withEnd(end);
-        unfinished.put(number, entry);
-        unfinishedBytes += entry.sizeBytes();
+        UnfinishedMessage entry = state.get(number).withEnd(end);
+        state.put(entry);
         long nowMillis = SteadyClock.millis();
         if (entry.keyIsRemembered()) {
-            rememberedEnds.add(entry.request().key(), new RememberedEnds.End(nowMillis, end.kind()));
+            state.remember(entry.request().key(), new RememberedEnds.End(nowMillis, end.kind()));
         }
         return appendOrSnapshot(JournalRecords.ended(number, end, nowMillis));
     }
@@ -405,18 +371,16 @@
      * @return whether it was unfinished until now
      */
     public synchronized boolean writeAcknowledged(int number) {
-        UnfinishedMessage entry = unfinished.remove(number);
-        if (entry == null) {
+        if (!state.remove(number)) {
             return false;
         }
-        unfinishedBytes -= entry.sizeBytes();
         appendOrSnapshot(JournalRecords.acknowledged(number));
         return true;
     }
 
     /** The end of an RPC with this key that is accepted only once, if it came within the last two minutes, or null. */
     synchronized RememberedEnds.End recentEnd(String key) {
-        return rememberedEnds.recent(key, SteadyClock.millis());
+        return state.recentEnd(key, SteadyClock.millis());
     }
 
     /**
@@ -484,7 +448,7 @@
             return false;
         }
         long startNanos = System.nanoTime();
-        byte[] snapshot = snapshot();
+        byte[] snapshot = state.snapshot(firstSegment, SteadyClock.mark(), SteadyClock.millis());
         try {
             segments.replace(snapshot);
         } catch (IOException e) {
@@ -551,21 +515,4 @@
             LOG.atInfo().addKeyValue("failures", failedWrites).log("journal: writes succeed again");
         }
     }
-
-    private byte[] snapshot() {
-        long nowMillis = SteadyClock.millis();
-        rememberedEnds.removeOld(nowMillis);
-        ByteArrayOutputStream bytes =
-                new ByteArrayOutputStream((int) Math.min(snapshotBytes(), MAX_SNAPSHOT_BUFFER_BYTES));
-        bytes.writeBytes(JournalRecords.snapshotBegins(firstSegment, SteadyClock.mark(), numbers.range()));
-        rememberedEnds.forEach((key, end) -> bytes.writeBytes(JournalRecords.rememberedEnd(key, end)));
-        for (UnfinishedMessage entry : unfinished.values()) {
-            bytes.writeBytes(JournalRecords.accepted(entry));
-            if (entry.end() != null) {
-                bytes.writeBytes(JournalRecords.ended(entry.number(), entry.end(), nowMillis));
-            }
-        }
-        bytes.writeBytes(JournalRecords.snapshotEnds(firstSegment));
-        return bytes.toByteArray();
-    }
 }
