--- a/src/main/java/juniperusher/core/Journal.java
+++ b/src/main/java/juniperusher/core/Journal.java
@@ -17,8 +17,8 @@
  * The write-ahead journal of the relay: the unfinished messages and the steps of each, in a folder that outlasts the
  * process. Steps are appended to segment files. When the disk bound is reached and it pays, a snapshot of everything
  * unfinished is written to a new segment and the old segments are removed; the bound leaves room for both copies at any
- * time ({@link JournalRoom}). Nothing
- * is synced to the disk: written data survives the end of the process but not the loss of the machine.
+ * time ({@link JournalRoom}). Nothing is synced to the disk: written data survives the end of the process but not the
+ * loss of the machine.
  *
  * <p>Writes may fail for a while. A step that needs permission (accepting a message, starting an attempt) happens only
  * after it is written; if the write fails, it is refused and the state in memory stays unchanged. A step that reports
--- a/src/test/java/juniperusher/core/JournalSegmentsTest.java
+++ b/src/test/java/juniperusher/core/JournalSegmentsTest.java
@@ -93,8 +93,7 @@
     }
 
     // Guards against a third copy of the state in the folder: a kill left a snapshot half written, or the old segment
-    // beside
-    // a complete one, and the next process wrote its own beside both.
+    // beside a complete one, and the next process wrote its own beside both.
     @Test
     public void startNeedsRoomForTwoCopiesWhereverASnapshotWasKilled() throws Exception {
         Path killed = Files.createTempDirectory("segments");
@@ -193,8 +192,8 @@
         return segments.get(segments.size() - 1);
     }
 
-    // Guards against refused messages in the journal of an earlier version, whose message numbers could overflow: a new
-    // process sent them.
+    // Guards against refused messages in the journal of an earlier version, whose message numbers could overflow: a
+    // new process sent them.
     @Test
     public void neverSentMessageWithANegativeNumberIsReturned() throws IOException {
         Path folder = Files.createTempDirectory("segments");
--- a/src/test/java/juniperusher/core/JournalTest.java
+++ b/src/test/java/juniperusher/core/JournalTest.java
@@ -153,9 +153,8 @@
         return accepted;
     }
 
-    // Guards against notices that come too late once the journal is full: each request that it refused wrote a snapshot
-    // of
-    // all unfinished messages, though nothing had ended since the one before.
+    // Guards against notices that come too late once the journal is full: each request that it refused wrote a
+    // snapshot of all unfinished messages, though nothing had ended since the one before.
     @Test
     public void fullJournalRefusesWithoutWritingASnapshot() throws IOException {
         Path folder = Files.createTempDirectory("journal");
@@ -169,8 +168,7 @@
     }
 
     // Guards against the same late notices while a full journal gets room little by little: each message that was
-    // accepted
-    // in the room of one that had ended wrote the whole state.
+    // accepted in the room of one that had ended wrote the whole state.
     @Test
     public void fullJournalWritesFourBytesOfSnapshotsForEachByteAcceptedAtMost() throws IOException {
         Path folder = Files.createTempDirectory("journal");
--- a/src/test/java/juniperusher/core/SharedRetryDelaysTest.java
+++ b/src/test/java/juniperusher/core/SharedRetryDelaysTest.java
@@ -63,8 +63,7 @@
     }
 
     // Guards against a delay that one process of an upgrade drops: the new one waits for the owner's lock, so the
-    // kernel
-    // refuses the old one to wait for the lock on the delays, as for a deadlock.
+    // kernel refuses the old one to wait for the lock on the delays, as for a deadlock.
     @Test
     public void delayIsSharedWhileTheOtherProcessWaitsForTheOwnersEnd() throws Exception {
         Path folder = Files.createTempDirectory("waits");
--- a/src/test/java/juniperusher/http/ReloadTest.java
+++ b/src/test/java/juniperusher/http/ReloadTest.java
@@ -114,8 +114,7 @@
     }
 
     // Guards against a file at SIGHUP that lacks a key and is put in force all the same: without a class's group,
-    // messages
-    // that may have run in one zone went to another.
+    // messages that may have run in one zone went to another.
     @Test
     public void aFileThatLacksAnyKeyOfTheOneInForceIsRejected() throws Exception {
         Path folder = Files.createTempDirectory("incomplete");
