--- a/src/main/java/juniperusher/core/SharedRetryDelays.java
+++ b/src/main/java/juniperusher/core/SharedRetryDelays.java
@@ -12,9 +12,9 @@
 /**
  * Retry-after delays of destinations, shared by the two processes of an upgrade through the state folder: destinations
  * see one relay, so a delay announced to either process binds both. The file {@code waits} holds one line for each
- * destination: its number and the end of the delay in milliseconds of {@link SteadyClock}. Expired delays are dropped at
- * each change. A delay that cannot be stored stays pending until the next {@link #add} or {@link #pollChanges}. Safe for
- * threads.
+ * destination: its number and the end of the delay in milliseconds of {@link SteadyClock}. Expired delays are dropped
+ * at each change. A delay that cannot be stored stays pending until the next {@link #add} or {@link #pollChanges}. Safe
+ * for threads.
  */
 final class SharedRetryDelays {
     private static final Logger LOG = LoggerFactory.getLogger(SharedRetryDelays.class);
@@ -34,8 +34,8 @@
     }
 
     /**
-     * Adds a delay that was announced to this process. A shorter delay does not end an earlier longer one. Delays of the
-     * other process that are read here are still returned by the next {@link #pollChanges}.
+     * Adds a delay that was announced to this process. A shorter delay does not end an earlier longer one. Delays of
+     * the other process that are read here are still returned by the next {@link #pollChanges}.
      */
     void add(int destination, long untilMillis) {
         synchronized (pending) {
